--- /dev/null
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -0,0 +1,117 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.ServerState;
+import kitemux.Main;
+
+/** What a node is told at its start. */
+class NodeConfigTest {
+    private static final String CONFIG = """
+            {"name":"n0","listen":"127.0.0.1:8000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+             "known":{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"10.1.0.18:8000","az":"b",
+              "model":"m","pod_group":3,"state":"Terminating","capacity_hint":1.5,"boot_ms":1234}]},
+             "settings":{"balancers":2,"me":1,"zones":["a","b"],"myZone":"b","membershipMode":"on_request",
+              "limits":{"attemptsCap":4,"connIdleUs":60000000,"dialTimeoutUs":50000,"cancelling":true,
+               "retryAfter":true,"maxRetryAfterUs":1000000},
+              "rules":{"coldFrom":0.12},"realms":[{"name":"school-a","quotaPerS":85.0}],
+              "classes":[{"name":"photo","onTimeUs":200000,"giveUpUs":600000,"repeat":"keyed","group":"cell",
+               "windowUs":1200000,"importance":5.0}]}}
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private NodeConfig read(String config, Map<String, String> more) throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        Map<String, String> env = new HashMap<>(more);
+        env.put("PROXY_CONFIG", file.toString());
+        return NodeConfig.read(env);
+    }
+
+    @Test
+    void theFileIsReadWithTheWiresNames() throws Exception {
+        NodeConfig config = read(CONFIG, Map.of());
+        assertEquals(8000, config.listen().getPort());
+        assertEquals(8500, config.discovery().getPort());
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(1024, config.sockets());
+        assertEquals(60_000_000, config.connIdleUs());
+        assertEquals(2, config.settings().nodes);
+        assertEquals(1, config.settings().me);
+        assertEquals(List.of("a", "b"), config.settings().zones);
+        assertEquals(1, config.settings().myZone);
+        assertEquals(50_000, config.settings().connectTimeoutUs);
+        assertEquals(1_000_000, config.settings().maxRetryAfterUs);
+        assertEquals(0.12, config.settings().coldFrom);
+        assertTrue(config.settings().listOnRequest);
+        assertEquals(Repeat.KEYED, config.settings().classes.get(0).repeat());
+        assertEquals(Group.CELL, config.settings().classes.get(0).group());
+        assertEquals(85.0, config.settings().tenants.get(0).quotaPerS());
+        HostList.Host host = config.known().hosts().get(0);
+        assertEquals("10.1.0.18:8000", host.endpoint().getHostString() + ":" + host.endpoint().getPort());
+        assertEquals(1, host.entry().zone());
+        assertEquals(3, host.entry().cell());
+        assertEquals(ServerState.DRAINING, host.entry().state());
+        assertEquals(1_234_000, host.entry().startedAtUs());
+    }
+
+    @Test
+    void theEnvironmentsAddressesHoldWhereTheyAreSet() throws Exception {
+        NodeConfig config = read(CONFIG,
+                Map.of("PROXY_LISTEN", "127.0.0.7:81", "PROXY_DISCOVERY", "127.0.0.8:82"));
+        assertEquals("127.0.0.7", config.listen().getHostString());
+        assertEquals(82, config.discovery().getPort());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "127.0.0.1:8000 | nowhere | listen",
+        "127.0.0.1:8500 | host.example:8500 | discovery",
+        "8c1f30d27a5be964 | xyz | seed",
+        "\"sockets\":1024 | \"sockets\":\"many\" | limits.sockets",
+        "\"onTimeUs\":200000, | '' | settings.classes.0.onTimeUs",
+        "\"keyed\" | \"never\" | settings.classes.0.repeat",
+        "\"me\":1 | \"me\":2 | settings: me",
+        "\"rev\":41 | \"rev\":\"x\" | known.rev",
+        "Terminating | Asleep | known.targets[0].state",
+        "\"settings\":{ | \"sittings\":{ | settings",
+    })
+    void aBadFieldIsNamed(String good, String bad, String field) {
+        ConfigException e = assertThrows(ConfigException.class,
+                () -> read(CONFIG.replace(good, bad), Map.of()));
+        assertTrue(e.getMessage().startsWith(field + " "), e.getMessage());
+    }
+
+    @Test
+    void aMissingFileEndsTheProgramWithOneLineAndCode2() throws Exception {
+        String java = ProcessHandle.current().info().command().orElseThrow();
+        ProcessBuilder builder = new ProcessBuilder(java, "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        builder.environment().put("PROXY_CONFIG", folder.resolve("none.json").toString());
+        Process process = builder.start();
+        String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+        assertEquals(1, said.lines().count(), said);
+        assertTrue(said.contains("PROXY_CONFIG"), said);
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -0,0 +1,132 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import kitemux.Balancer;
+import kitemux.Main;
+import kitemux.ServiceQBalancer;
+
+/** A node as a whole. */
+class NodeTest {
+
+    /** A module that breaks the first time that it is told of this event. */
+    private static Balancer breaking(Balancer sound, String event) {
+        boolean[] broken = {false};
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+                    if (method.getName().equals(event) && !broken[0]) {
+                        broken[0] = true;
+                        throw new IllegalStateException("broken for the test");
+                    }
+                    try {
+                        return method.invoke(sound, args);
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                });
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"onRequest", "onOutcome"})
+    void anExceptionCostsOneRequestAndStillAnswersIt(String event) throws Exception {
+        // Neither answer is a success, so that the node owes the client its own.
+        try (FarServer server = new FarServer((request, peer) -> peer.write(Http.answer("500 No", "", "")));
+                Site site = Site.quiet()) {
+            site.module = actions -> breaking(new ServiceQBalancer(site.settings, 7, actions), event);
+            site.start(server);
+            assertEquals(500, site.ask(Http.order("first", "4000m")).status());
+            assertEquals(502, site.ask(Http.order("second", "4000m")).status());
+        }
+    }
+
+    private static Path configure(Path folder, String discovery) throws Exception {
+        Path next = Files.writeString(folder.resolve("next.json"), """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"settings":
+                 {"membershipMode":"on_request","limits":{"attemptsCap":1},
+                  "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
+                """.formatted(discovery));
+        return Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** A node as a process, which is told of discovery by the environment as well. */
+    private static Process program(Path config, String discovery) throws Exception {
+        String java = ProcessHandle.current().info().command().orElseThrow();
+        ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("PROXY_DISCOVERY", discovery);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static void awaitLine(BufferedReader lines, String part) throws Exception {
+        String line = lines.readLine();
+        while (line != null && !line.contains(part)) {
+            line = lines.readLine();
+        }
+        assertNotNull(line, "no line says " + part);
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
+    @Test
+    void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
+        Process process = program(configure(folder, "127.0.0.1:9"), "127.0.0.1:9");
+        try {
+            awaitLine(process.inputReader(), "listening on ");
+            process.destroy();
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(143, process.exitValue(), "ended by SIGTERM in good order");
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void onSighupTheWatchMovesToWhereTheFileSaysAndABadFileChangesNothing(@TempDir Path folder)
+            throws Exception {
+        FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
+        try (FarServer before = new FarServer(watch); FarServer after = new FarServer(watch)) {
+            Path config = configure(folder, before.endpoint());
+            Process process = program(config, before.endpoint());
+            try {
+                BufferedReader lines = process.inputReader();
+                FarServer.next(before.requests);
+                configure(folder, after.endpoint());
+                hangUp(process);
+                FarServer.next(after.requests);
+                FarServer.next(before.ended);
+                Files.writeString(config, "{");
+                hangUp(process);
+                awaitLine(lines, "PROXY_CONFIG is not JSON");
+                configure(folder, before.endpoint());
+                hangUp(process);
+                hangUp(process);
+                FarServer.next(before.requests);
+                process.destroy();
+                hangUp(process);
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(143, process.exitValue(), "still ended by SIGTERM in good order");
+                assertEquals(1, after.connections.get());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -0,0 +1,228 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+
+/** How attempts end, seen from outside: an order may go on to another server only if it never ran. */
+class ServerPoolTest {
+    private static final int ASKED = 12;
+
+    /** Asks for a number of orders, of which about half meet the first server; all must be served. */
+    private static void allServed(Site site) throws IOException {
+        for (int i = 0; i < ASKED; i++) {
+            assertEquals(200, site.ask(Http.order("t" + i, "4000m")).status());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        try (FarServer dead = FarServer.serving("x"); FarServer good = FarServer.serving("x");
+                Site site = Site.quiet()) {
+            dead.stop();
+            site.start(dead, good);
+            allServed(site);
+            assertEquals(ASKED, good.requests.size());
+        }
+    }
+
+    @Test
+    void aRequestTurnedAwayNeverRan() throws Exception {
+        try (FarServer full = new FarServer((request, peer) ->
+                peer.write(Http.answer("504 Over", "X-Turned-Away: 1\r\n", "")));
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(full, good)) {
+            allServed(site);
+            assertEquals(ASKED, good.requests.size());
+            assertTrue(full.requests.size() > 0);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 500 Error\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly part of it",
+        "HTTP/1.1 200 OK\r\n\r\nhow long is this",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+        "what is this\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon in here\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
+        "HTTP/1.1 +200 OK\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nxyz",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "1\r\nx\r\n0\r\n\r\n",
+    })
+    void aBadAnswerMayHaveRunAndIsNeverServed(String answer) throws Exception {
+        try (FarServer bad = new FarServer((request, peer) -> {
+            peer.write(answer);
+            peer.socket().close();
+        }); Site site = Site.quiet().start(bad)) {
+            assertEquals(502, site.ask(Http.order("t", "4000m")).status());
+            assertEquals(1, bad.requests.size(), "an order is sent once");
+        }
+    }
+
+    @Test
+    void aRepeatableRequestPassesOnAfterAReset() throws Exception {
+        try (FarServer bad = new FarServer((request, peer) -> peer.reset());
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(bad, good)) {
+            for (int i = 0; i < ASKED; i++) {
+                assertEquals(200, site.ask(Http.page("/api/p", "t" + i, "4000m")).status());
+            }
+            assertTrue(bad.requests.size() > 0);
+        }
+    }
+
+    @Test
+    void anAnswerPastAllBoundsIsGivenUpAtOnce() throws Exception {
+        try (FarServer bad = new FarServer((request, peer) ->
+                peer.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"));
+                Site site = Site.quiet().start(bad)) {
+            assertEquals(502, site.ask(Http.order("t", "3600000m")).status());
+            FarServer.next(bad.ended);
+        }
+    }
+
+    @Test
+    void anAnswerLargerThanRequestsMayBePassesOnWhole() throws Exception {
+        String large = "photo".repeat(70_000);
+        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
+            assertEquals(large, site.ask(Http.order("t", "4000m")).body());
+            assertEquals(large, site.ask(Http.order("u", "4000m")).body());
+            assertEquals(1, server.connections.get());
+        }
+    }
+
+    @Test
+    void anUnreadableLoadReportSpoilsNoAnswer() throws Exception {
+        try (FarServer server = new FarServer((request, peer) ->
+                peer.write(Http.answer("200 OK", "X-Pressure: TEXT %%=;{\"\r\n", "good")));
+                Site site = Site.quiet().start(server)) {
+            assertEquals("good", site.ask(Http.order("t", "4000m")).body());
+        }
+    }
+
+    @Test
+    @Timeout(20)
+    void aConnectionOnWhichSomethingWaitsUnreadIsNotQuiet() throws Exception {
+        EventLoop loop = Node.newLoop();
+        try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            // Nothing is read by itself, as when the loop has not come to it yet.
+            ServerChannel channel = (ServerChannel) new Bootstrap().group(loop)
+                    .channelFactory(ServerChannel::new).option(ChannelOption.AUTO_READ, false)
+                    .handler(new ChannelInboundHandlerAdapter())
+                    .connect(far.getLocalSocketAddress()).sync().channel();
+            Socket server = far.accept();
+            assertTrue(channel.isQuiet());
+            server.getOutputStream().write('x');
+            while (channel.isQuiet()) {
+                Thread.onSpinWait();
+            }
+            assertTrue(channel.isQuiet(), "the byte is gone");
+            server.close();
+            while (channel.isQuiet()) {
+                Thread.onSpinWait();
+            }
+            assertFalse(channel.isQuiet(), "the end stays");
+        } finally {
+            loop.parent().shutdownGracefully();
+        }
+    }
+
+    @Test
+    void interimAnswersArePassedOver() throws Exception {
+        try (FarServer server = new FarServer((request, peer) ->
+                peer.write("HTTP/1.1 102 Processing\r\n\r\n"
+                        + "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + Http.ok("final")));
+                Site site = Site.quiet().start(server)) {
+            assertEquals("final", site.ask(Http.page("t")).body());
+        }
+    }
+
+    @Test
+    void whatComesBehindAnAnswerDoesNotAnswerTheNext() throws Exception {
+        try (FarServer server = new FarServer((request, peer) ->
+                peer.write(Http.ok(request.headers().get("x-txn")) + Http.ok("stray")));
+                Site site = Site.quiet().start(server)) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals("t" + i, site.ask(Http.page("/api/p", "t" + i, "4000m")).body());
+            }
+        }
+    }
+
+    @Test
+    void anAttemptOutOfTimeIsGivenUpByClosingItsConnection() throws Exception {
+        try (FarServer silent = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(silent)) {
+            assertEquals(502, site.ask(Http.order("t", "100m")).status());
+            FarServer.next(silent.ended);
+        }
+    }
+
+    @Test
+    void theMostRecentlyUsedConnectionIsTakenAndOldOnesAreClosed() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.connIdleUs = 200_000;
+            site.start(server);
+            assertEquals(200, site.ask(Http.page("a")).status());
+            assertEquals(200, site.ask(Http.page("b")).status());
+            FarServer.Peer first = FarServer.next(server.peers);
+            assertEquals(first, FarServer.next(server.peers), "used again");
+            assertEquals(first, FarServer.next(server.ended), "closed by the node before the server does");
+            assertEquals(200, site.ask(Http.page("c")).status());
+            assertNotEquals(first, FarServer.next(server.peers));
+        }
+    }
+
+    @Test
+    void wordOfADrainFreesWhatAwaitsAConnection() throws Exception {
+        // A listener whose backlog is full: connections to it never come up.
+        try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet()) {
+            assertTrue(one.isConnected() && two.isConnected());
+            String hangs = "s0=127.0.0.1:" + hanging.getLocalPort();
+            site.startKnowing(Site.list(1, true, hangs + "=Ready"));
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            Socket client = site.connect();
+            Site.write(client, Http.order("t", "5000m"));
+            // Once the answer to a later request is there, the order has been taken up and awaits its turn.
+            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            watch.write(Site.chunk(Site.list(2, false, hangs + "=Terminating",
+                    "s1=" + good.endpoint() + "=Ready") + "\n"));
+            assertEquals(200, Http.read(client.getInputStream()).status());
+        }
+    }
+
+    @Test
+    void aChangedEndpointMovesNewConnections() throws Exception {
+        try (FarServer before = FarServer.serving("old"); FarServer after = FarServer.serving("new");
+                Site site = Site.quiet().start(before)) {
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            assertEquals("old", site.ask(Http.page("a")).body());
+            watch.write(Site.chunk(Site.list(2, false, "s0=" + after.endpoint() + "=Ready") + "\n"));
+            FarServer.next(before.ended);
+            assertEquals("new", site.ask(Http.page("b")).body());
+        }
+    }
+}
