Keep serving open connections after SIGTERM for as long as there is time

Symptom: from 16 s on, for about three seconds, 53 to 60% of requests failed with 0.3 attempts each: they met no node at all. Before and after, 98% and more were in time.

Ruled out: descriptors (200 of 384 in that stretch), CPU of the node left (0.3 of its part), the servers (12 ready all along), discovery (its list came on time).

At fault: ClientServer.drain closed every idle connection 500 ms after SIGTERM, and ClientConnection.answer ended the others with the next answer, though clients use a connection for as long as it stays open. Now the listener still closes after 500 ms, but open connections are served until the longest aim before the last moment at which all can be answered, both worked out from the settings (Departure). What is taken meanwhile has its deadline cut to that moment, so that nothing is held when the process is killed.

The new tests fail without the change: the connection ends with its first answer, and the request that the server never answers is held past the client's patience.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -183,6 +183,8 @@
         try {
             String path = RequestReader.path(next.head.uri());
             if (path.equals("/up")) {
+                // The front need not ask a second time.
+                keepAlive &= !server.isDraining();
                 answer(server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                         NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
@@ -220,7 +222,7 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
-        if (!keepAlive || server.isDraining()) {
+        if (!keepAlive || server.isLeaving()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -171,24 +171,35 @@
         return draining;
     }
 
+    /** Whether connections end with their next answer. */
+    boolean isLeaving() {
+        return closed;
+    }
+
     /**
-     * No longer ready: new connections are served while the front may still deal them out, every answer
-     * ends its connection, and then all that is idle is closed.
+     * No longer ready: new connections are served while the front may still deal them out, and those that
+     * are open for as long as there is time. Then every answer ends its connection, and all that is idle is
+     * closed.
      *
+     * @param lastRequestUs from now until requests are no longer taken
      * @param whenDone called once no connection is left and none can come
      */
-    void drain(Runnable whenDone) {
+    void drain(long lastRequestUs, Runnable whenDone) {
         draining = true;
         whenEmpty = whenDone;
-        loop.schedule(() -> listening.close().addListener(done -> {
-            closed = true;
-            List<ClientConnection> unused = all();
-            unused.removeAll(busy);
-            // What has come is served, and its answer ends the connection.
-            unused.removeIf(client -> !client.isQuiet());
-            unused.forEach(ClientConnection::close);
-            tellIfEmpty();
-        }), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> listening.close(), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> listening.close().addListener(done -> leave()), lastRequestUs,
+                TimeUnit.MICROSECONDS);
+    }
+
+    private void leave() {
+        closed = true;
+        List<ClientConnection> unused = all();
+        unused.removeAll(busy);
+        // What has come is served, and its answer ends the connection.
+        unused.removeIf(client -> !client.isQuiet());
+        unused.forEach(ClientConnection::close);
+        tellIfEmpty();
     }
 
     void close() {
--- /dev/null
+++ b/src/main/java/kitemux/node/Departure.java
@@ -0,0 +1,27 @@
+package kitemux.node;
+
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+
+/**
+ * How long a node that has been told to end goes on, counted from that word. Clients use their connections
+ * for as long as they stay open, and a successor starts no sooner than the node is killed: a node that left
+ * at once stood still for seconds, and in a small tier the next may have to end before this one is back.
+ *
+ * @param lastRequestUs until when requests are taken: one that comes later could miss what is wanted of it
+ * @param lastAnswerUs by when all that was taken has its answer
+ */
+record Departure(long lastRequestUs, long lastAnswerUs) {
+    /** A node is killed after the longest deadline, counted as this where it is longer, and a little more. */
+    private static final long MOST_DEADLINE_US = 3_000_000;
+    private static final long BEYOND_DEADLINE_US = 700_000;
+    /** For the last answers to be written and the process to end, on part of a core. */
+    private static final long MARGIN_US = 200_000;
+
+    static Departure of(Settings settings) {
+        long deadline = settings.classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        long aim = settings.classes.stream().mapToLong(RequestClass::aimUs).max().orElse(0);
+        long lastAnswer = Math.min(MOST_DEADLINE_US, deadline) + BEYOND_DEADLINE_US - MARGIN_US;
+        return new Departure(Math.max(Limits.ARRIVING_MS * 1_000, lastAnswer - aim), lastAnswer);
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -59,6 +59,8 @@
     /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean telling;
+    /** What is still held then would be lost with the process. */
+    private long lastAnswerAtUs = Long.MAX_VALUE;
     private Future<?> housekeeping;
     private Future<?> wake;
     private long wakeAtUs;
@@ -149,7 +151,7 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
-            node.drain(empty::countDown);
+            node.drain(Departure.of(config.settings()), empty::countDown);
             try {
                 empty.await();
             } catch (InterruptedException e) {
@@ -178,9 +180,12 @@
         loop.execute(() -> discovery.moveTo(changed.discovery()));
     }
 
-    /** Says no to the front, serves what still comes, and calls back once nothing is held. */
-    void drain(Runnable whenEmpty) {
-        loop.execute(() -> clients.drain(whenEmpty));
+    /** Says no to the front, serves what still comes in the time left, and calls back once nothing is held. */
+    void drain(Departure departure, Runnable whenEmpty) {
+        loop.execute(() -> {
+            lastAnswerAtUs = clock.nowUs() + departure.lastAnswerUs();
+            clients.drain(departure.lastRequestUs(), whenEmpty);
+        });
     }
 
     /** Lets go of all sockets and timers at once. */
@@ -240,7 +245,7 @@
             throw new BadRequestException("X-Txn is that of an open request");
         }
         long now = clock.nowUs();
-        Held taken = new Held(++lastId, request, client, now + request.leftUs());
+        Held taken = new Held(++lastId, request, client, Math.min(now + request.leftUs(), lastAnswerAtUs));
         client.held = taken;
         held.put(taken.id, taken);
         tell(taken, () -> balancer.onRequest(clock.nowUs(), new Request(taken.id, request.classIndex(),
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -144,7 +144,7 @@
             Site.write(client, Http.page("/api/x", "t", "5000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
-            site.node.drain(done::countDown);
+            site.node.drain(new Departure(600_000, 20_000_000), done::countDown);
             Http.Message up = site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
             assertEquals(503, up.status());
             assertEquals("close", up.headers().get("connection"));
@@ -161,6 +161,32 @@
         }
     }
 
+    @Test
+    void aDrainingNodeGoesOnServingTheConnectionsThatStayOpen() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            assertEquals(200, Site.ask(client, Http.page("before")).status());
+            site.node.drain(new Departure(20_000_000, 21_000_000), () -> { });
+            site.awaitNoneTaken();
+            for (int i = 0; i < 3; i++) {
+                Http.Message answer = Site.ask(client, Http.page("t" + i));
+                assertEquals(200, answer.status());
+                assertEquals(null, answer.headers().get("connection"));
+            }
+        }
+    }
+
+    @Test
+    void whatADrainingNodeTakesIsAnsweredBeforeItsEnd() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            site.node.drain(new Departure(20_000_000, 400_000), () -> { });
+            // Its own deadline is past the time for which the client reads.
+            assertTrue(Site.ask(client, Http.order("t", "60000m")).status() >= 500);
+        }
+    }
+
     @Test
     void clientsLeaveRoomForConnectionsToServers() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
