--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -180,7 +180,7 @@
         loop.execute(() -> discovery.moveTo(changed.discovery()));
     }
 
-    /** Says no to the front, serves what still comes in the time left, and calls back once nothing is held. */
+    /** Says no to the front, serves what comes in the time left, and calls back once nothing is held. */
     void drain(Departure departure, Runnable whenEmpty) {
         loop.execute(() -> {
             lastAnswerAtUs = clock.nowUs() + departure.lastAnswerUs();
