Measure a cold server's budget by tenants' shares, not by what comes back

Checked and ruled out: late word of the joining servers (all nodes list 60 by 15 s); ejection (one or two servers a node); limits of cold servers (3 to 3.5, never met); failed connects (few, and to no cold server).

At fault: ServiceQBalancer.coldGap took an even part of what the node gets answered as the measure of a server. What it holds back is not answered, so the budget feeds on itself: with most servers cold it falls towards nothing, and a node that has just started begins at 20 answers a second. The gap was also fixed at the moment of a send, 10 s ahead at first, while the share that it rests on grew three times in that time.

The measure is now the sum of the tenants' shares, which the settings give for the whole fleet, over nodes and servers; where there are none, answers as before. The gap is worked out when it is asked for.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -176,6 +176,8 @@
     private final int[] answers;
     private final double[] shareLeft;
     private final long[] shareSeenAt;
+    private final double quotaPerS;
+    private int mostReady;
     private int inFlight;
     private double limits;
     private long askListAt = Long.MAX_VALUE;
@@ -205,7 +207,7 @@
         /** What all its answers say, and those of each class: it may fail one class and serve the others. */
         final Health overall = new Health();
         final Health[] byClass;
-        long nextColdSendAt;
+        long coldSentAt;
 
         Server(String id, int classes) {
             this.id = id;
@@ -316,6 +318,7 @@
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
         answers = new int[set.classes.size()];
+        quotaPerS = set.tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
         shareLeft = new double[set.tenants.size()];
         shareSeenAt = new long[set.tenants.size()];
         set.classes.forEach(c -> watched.add(new ArrayDeque<>()));
@@ -355,7 +358,7 @@
                 startAnew(server);
                 server.limit = 0;
                 server.slowness = 1;
-                server.nextColdSendAt = 0;
+                server.coldSentAt = 0;
                 server.startedAt = entry.startedAtUs();
             }
             server.state = entry.state();
@@ -380,6 +383,7 @@
     private void chooseServers() {
         Server[] before = ready;
         ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new));
+        mostReady = Math.max(mostReady, ready.length);
         Arrays.stream(before).forEach(server -> server.inUse = false);
         double usual = listed.stream().mapToDouble(s -> s.limit).filter(l -> l > 0).average().orElse(1e9);
         for (int i = 0; i < ready.length; i++) {
@@ -387,9 +391,9 @@
             ready[i].inUse = true;
             // Not before it is known how many nodes share it; one that joins holds no more than the others.
             ready[i].limit = ready[i].limit == 0 ? Math.min(firstLimit(), usual) : ready[i].limit;
-            if (isCold(ready[i]) && ready[i].nextColdSendAt == 0) {
+            if (isCold(ready[i]) && ready[i].coldSentAt == 0) {
                 // All nodes hear of a start at once: their first sends together would be a burst.
-                ready[i].nextColdSendAt = now + (long) (random.nextDouble() * coldGap(ready[i]));
+                ready[i].coldSentAt = now - (long) (random.nextDouble() * coldGap(ready[i]));
             }
         }
         Arrays.stream(before).forEach(this::closeIfUnused);
@@ -784,15 +788,11 @@
 
     // ---------------------------------------------------------------- draws
 
-    /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
+    /** An ejected server that is due for a trial; else of two draws the one with fewer own in flight. */
     private Server drawForFirstTry(Call call) {
         Server due = ejected.isEmpty() ? null : trial(call);
-        return due != null ? due : drawByZone(call);
-    }
-
-    private Server drawByZone(Call call) {
-        Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
-        if (nearby == everywhere || call.keySeed != 0) {
+        Server server = due != null ? due : drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
+        if (due != null || nearby == everywhere || call.keySeed != 0) {
             return server;
         }
         // Exception, zones: where crossing costs, both draws are local, and two more from all servers win
@@ -805,6 +805,7 @@
                 || other.errors < server.errors) ? other : server;
     }
 
+    /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawTwo(Call call, Pool from) {
         Server first = draw(call, from, null);
         Server second = first == null ? null : draw(call, from, first);
@@ -890,16 +891,15 @@
 
     /** A failed request goes to the next server in list order, or waits, or has its final answer. */
     private void passOn(Call call, Server failed) {
-        if (!mayTryAgain(call)) {
-            giveUp(call);
-            return;
-        }
-        Server next = nextInTurn(call, failed);
+        boolean again = mayTryAgain(call);
+        Server next = again ? nextInTurn(call, failed) : null;
         if (next != null) {
             send(call, next);
-            return;
+        } else if (again) {
+            defer(call);
+        } else {
+            giveUp(call);
         }
-        defer(call);
     }
 
     private Server nextInTurn(Call call, Server failed) {
@@ -1202,9 +1202,7 @@
         inFlight += isCounted(server) ? 1 : 0;
         // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
-        if (isCold(server)) {
-            server.nextColdSendAt = Math.max(now, server.nextColdSendAt) + coldGap(server);
-        }
+        server.coldSentAt = now;
         out.send(call.request.id(), server.id, call.deadlineAt);
     }
 
@@ -1266,7 +1264,8 @@
     }
 
     private boolean isAllowed(Call call, Server server) {
-        if (server.state != ServerState.READY || isCold(server) && now < server.nextColdSendAt) {
+        if (server.state != ServerState.READY
+                || isCold(server) && now < server.coldSentAt + coldGap(server)) {
             return false;
         }
         int binding = call.cls.repeat() == Repeat.KEYED ? call.binding() : -1;
@@ -1282,17 +1281,17 @@
     }
 
     /**
-     * Exception, slow start (rule 4): the unit is an even part of what this node gets answered, times the
-     * share of its capacity that a cold server has at least. All nodes together may send so many units as
-     * the rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit
-     * keeps a server that is slow besides below even that. Arrivals would not do as the measure: in a
-     * jam, clients' retries multiply them.
+     * Exception, slow start (rule 4): the unit is this node's even part of all tenants' shares, or without
+     * these of what it gets answered, which falls with what is held back; times the share of its capacity
+     * that a cold server has at least. All nodes together may send so many units as the rule's multiple;
+     * each spends half of that, spaced so that no burst spends it at once. Its limit keeps a slow server
+     * below even that. Arrivals would not do as the measure: in a jam, clients' retries multiply them.
      */
     private long coldGap(Server server) {
-        double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
-        double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
+        double share = set.coldFrom + (1 - set.coldFrom) * Math.max(0, now - server.startedAt) / set.coldUs;
+        double evenGap = quotaPerS > 0 ? 1e6 * set.nodes * mostReady / quotaPerS
+                : Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt)) * Math.max(1, ready.length);
         double units = Math.max(1, set.fallMultiple / 2) / (set.warmKeys ? UNKNOWN_KEY_COST : 1);
-        return (long) (gap * Math.max(1, ready.length) / (share * units));
+        return (long) (evenGap / (share * units));
     }
 }
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -130,6 +130,40 @@
         assertTrue(within <= 14, "nodes that sent at once: " + within);
     }
 
+    /** After a release most servers are cold: what was answered fell with what they were not sent. */
+    @Test
+    void nodesThatReturnToAFleetOfColdServersUseWhatTheseCanDo() {
+        int servers = 30;
+        int nodes = 14;
+        int sent = 0;
+        for (int me = 0; me < nodes; me++) {
+            Balancer.Settings set = Node.settings();
+            set.nodes = nodes;
+            set.me = me;
+            set.tenants.set(0, new Balancer.Tenant("tenant", 840));
+            set.warmKeys = true;
+            Node node = new Node(set, 70 + me);
+            node.now = 60_000_000;
+            List<ServerEntry> entries = new ArrayList<>();
+            for (int i = 0; i < servers; i++) {
+                entries.add(started("c" + i, node.now - 5_000_000));
+            }
+            node.list(ListKind.CACHED, entries);
+            int answered = 0;
+            for (int i = 0; i < 500; i++) {
+                node.askFor("k" + i, Node.SAFE);
+                node.advance(16_000);
+                for (int last = node.sent.size(); answered < last; answered++) {
+                    node.answer(node.sent.get(answered).request(), Result.OK, 0);
+                }
+                sent += i == 249 ? -answered : i == 499 ? answered : 0;
+            }
+        }
+        // Past a third warm, they can do half of 840 a second, and may be sent three times that.
+        double perS = sent / (250 * 0.016);
+        assertTrue(perS > 0.2 * 840 && perS < 0.5 * 840 * 3, "sent a second: " + perS);
+    }
+
     @Test
     void whereKeysAreWarmAColdServerGetsLessSinceItKnowsNone() {
         long[] sent = new long[2];
