Let a cold server's budget grow as it meets its keys, up to the rule's multiple

Ruled out: the limits of cold servers (3, never met) and their table of connections (no connect to one failed).

At fault: ServiceQBalancer.coldGap held each server at the cost of unknown keys for all of its warm-up, though it meets the frequent ones in seconds; and it spent half of the rule's multiple, a margin for a measure that swung with answers. The cost now falls to one as the server warms. Shares are told and are under what the fleet does, so all of the multiple is spent where they are the measure: at a cost of three that is six tenths of the rule's budget at most for requests with unknown keys.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -14,8 +14,7 @@
 import java.util.stream.Stream;
 
 /**
- * Every decision of the load balancer. Its interface, meaning all types, events and actions, stands in
- * {@code Balancer.java}.
+ * Every decision of the load balancer; {@link Balancer} has its events and actions.
  *
  * <p>The ordinary path is ServiceQ's: a failed attempt adds one to its server's error count, a success
  * clears it; a first try draws two servers by weights that fall with the count and goes to the one with
@@ -39,9 +38,11 @@
      * a part without which it would learn of no recovery. */
     private static final double THROTTLED_AT = 0.7;
     private static final double LEAST_ADMITTED = 0.05;
-    /** What a request costs a server that has just started and knows no keys, against the mean of requests at
-     * servers that do: how much memory saves is not told, so this is on the careful side. */
+    /** What a request costs a server that has just started and knows no keys, against the usual: what memory
+     * saves is not told, so this is on the careful side. It falls to one as the server warms. */
     private static final double UNKNOWN_KEY_COST = 3;
+    /** Part that is spent of the rule's multiple where answers are the measure of capacity, as they swing. */
+    private static final double SPENT = 0.5;
     /** Gap between answers that a node assumes before it has seen any: careful with cold servers. */
     private static final double FIRST_GAP_US = 50_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
@@ -1155,19 +1156,15 @@
         // that bursts inside a share find room; it does not raise limits either. Not where keys are warm,
         // since limits are no measure of room there.
         double part = call.overShare ? OVER_SHARE_PART : 1;
-        if (isAtLimit(server, part, ease * ahead)
-                || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
+        boolean atLimit = server.inFlight + 1 > part * server.limit
+                && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
+        if (atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
             server.wantedAt = call.overShare ? server.wantedAt : now;
             return true;
         }
         return false;
     }
 
-    private boolean isAtLimit(Server server, double part, double ahead) {
-        return server.inFlight + 1 > part * server.limit
-                && (server.inFlight > ahead || now < server.restUntil - ahead * server.restUs);
-    }
-
     /**
      * Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
      * come late, first for what is worth little. All nodes hold back alike, so that servers that have
@@ -1284,14 +1281,16 @@
      * Exception, slow start (rule 4): the unit is this node's even part of all tenants' shares, or without
      * these of what it gets answered, which falls with what is held back; times the share of its capacity
      * that a cold server has at least. All nodes together may send so many units as the rule's multiple;
-     * each spends half of that, spaced so that no burst spends it at once. Its limit keeps a slow server
-     * below even that. Arrivals would not do as the measure: in a jam, clients' retries multiply them.
+     * each spends a part, spaced so that no burst spends it at once. Its limit keeps a slow server below
+     * even that. Arrivals would not do as the measure: in a jam, clients' retries multiply them.
      */
     private long coldGap(Server server) {
-        double share = set.coldFrom + (1 - set.coldFrom) * Math.max(0, now - server.startedAt) / set.coldUs;
+        double age = Math.max(0.0, now - server.startedAt) / set.coldUs;
+        double share = set.coldFrom + (1 - set.coldFrom) * age;
+        double cost = set.warmKeys ? UNKNOWN_KEY_COST + (1 - UNKNOWN_KEY_COST) * age : 1;
         double evenGap = quotaPerS > 0 ? 1e6 * set.nodes * mostReady / quotaPerS
                 : Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt)) * Math.max(1, ready.length);
-        double units = Math.max(1, set.fallMultiple / 2) / (set.warmKeys ? UNKNOWN_KEY_COST : 1);
+        double units = Math.max(1, set.fallMultiple * (quotaPerS > 0 ? 1 : SPENT)) / cost;
         return (long) (evenGap / (share * units));
     }
 }
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -180,4 +180,24 @@
         }
         assertTrue(sent[1] > 0 && 2 * sent[1] <= sent[0], "sent: " + sent[1] + " and " + sent[0]);
     }
+
+    /** Held to the cost of unknown keys all along, joined servers idled while the others were overrun. */
+    @Test
+    void aServerThatIsNearlyWarmGetsAlmostAsMuchAsWhereNoKeysAreRemembered() {
+        long[] sent = new long[2];
+        for (int warm = 0; warm < 2; warm++) {
+            Balancer.Settings set = Node.settings();
+            set.tenants.set(0, new Balancer.Tenant("tenant", 50));
+            set.warmKeys = warm == 1;
+            Node node = new Node(set, 9);
+            node.now = 60_000_000;
+            node.with(4).list(ListKind.CHANGES, List.of(started("cold", node.now - set.coldUs * 3 / 4)));
+            for (int i = 0; i < 900; i++) {
+                long id = node.askFor("k" + i % 300, Node.UNSAFE);
+                node.answer(id, Result.OK, 5_000);
+            }
+            sent[warm] = node.sentTo("cold");
+        }
+        assertTrue(3 * sent[1] >= 2 * sent[0], "sent: " + sent[1] + " with keys, else " + sent[0]);
+    }
 }
