Start where keys are warm at a limit that nodes of a large fleet can meet

Evidence: counted a second over all nodes. Until the release each of 14 nodes has about 20 requests in flight over 60 servers, five a server in all, against limits of 4 a node and server, 56 in all: these are met by nobody, so nobody's answers cut them. Once 18 to 36 servers drain or are cold, 24 servers hold 20 to 30 requests each while the limits fall by single cuts from 4 to 1.3, which takes 8 s. Answers are in time again, at the same rate, as soon as they are there.

Checked and ruled out: the pace of the cuts (step and cut go by the fourth root of nodes already); failed connects and errors (no more than before the release).

At fault: FIRST_WARM_LIMIT, 64 requests over all nodes, fitted at 4 nodes where each met it. 24 is still over what a server holds in time; limits that are met grow as before.

The new test counts 56 in flight at one server without the change.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -47,8 +47,8 @@
     private static final double FIRST_GAP_US = 50_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
-    /** The same where keys are warm: past what a server holds, so that the first cut finds the limit. */
-    private static final double FIRST_WARM_LIMIT = 64;
+    /** The same where keys are warm: past what a server holds in time, so the first cut finds the limit. */
+    private static final double FIRST_WARM_LIMIT = 24;
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and a
      * server that is crowded up to its aim may already have turned slower. */
     private static final double CROWDED_AT = 0.35;
--- a/src/test/java/kitemux/LargeFleetTest.java
+++ b/src/test/java/kitemux/LargeFleetTest.java
@@ -182,4 +182,23 @@
         }
         assertTrue(sent[0] < sent[1], "sent beyond the share and inside: " + sent[0] + " and " + sent[1]);
     }
+
+    /** A limit that no node of many ever meets is cut by none: servers were overrun when others left. */
+    @Test
+    void nodesThatShareAServerDoNotOverrunItBeforeAnyHasItsAnswers() {
+        int inFlight = 0;
+        for (int me = 0; me < 14; me++) {
+            Settings set = Node.settings();
+            set.nodes = 14;
+            set.me = me;
+            set.warmKeys = true;
+            Node node = new Node(set, 100 + me).with(1);
+            for (int i = 0; i < 10; i++) {
+                node.askFor("k" + i, Node.UNSAFE);
+            }
+            inFlight += node.sent.size();
+        }
+        // Twice as many as two cores with waiting room for ten each would answer in time.
+        assertTrue(inFlight >= 14 && inFlight <= 40, "in flight at one server: " + inFlight);
+    }
 }
