Cut limits at six tenths of the aim where keys are warm, not at seven

Evidence: counted a second over all nodes, the 18 to 24 warm servers answer in 450 to 570 ms for eight seconds, twice the usual, while limits settle at 1.2 a node, 16 requests a server: only what passes seven tenths of its aim cuts them, and by then the more urgent classes are late. Ruled out: refusals as the cause (the rate served did not change with the limits) and cold servers (quicker than the warm ones).

At fault: ServiceQBalancer.adaptLimit with SPARSE_CROWDED_AT of 0.7, now PATIENT_CROWDED_AT, as it is the mark for warm keys too.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -52,9 +52,9 @@
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and a
      * server that is crowded up to its aim may already have turned slower. */
     private static final double CROWDED_AT = 0.35;
-    /** The same share at a sparse node: what many nodes send evens out badly, so even servers with much
-     * room answer some requests slowly. */
-    private static final double SPARSE_CROWDED_AT = 0.7;
+    /** The same share at a sparse node, where what many nodes send evens out badly, and with warm keys, where
+     * single hot keys crowd: even servers with much room answer some requests slowly. */
+    private static final double PATIENT_CROWDED_AT = 0.6;
     /** Part of that growth that stays while half of the answers come late: some must, or none comes back. */
     private static final double LEAST_GROWTH = 0.1;
     /** Growth of a server's limit over all nodes for an answer in good time, and its cut for a slow one: at a
@@ -1097,7 +1097,7 @@
             lastServedAt = now;
         }
         boolean patient = set.warmKeys || sparse && leastLatencyUs[c] < Double.MAX_VALUE;
-        double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * (call.aimAt - call.arrivedAt),
+        double crowded = Math.min((patient ? PATIENT_CROWDED_AT : CROWDED_AT) * (call.aimAt - call.arrivedAt),
                 set.warmKeys ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
         if (result == Result.OK || result == Result.TIMEOUT && server.overtookAt <= call.sentAt[attempt]) {
             double slowness = Math.min(2, outcome.latencyUs() / Math.max(1, crowded));
--- a/src/test/java/kitemux/KeysTest.java
+++ b/src/test/java/kitemux/KeysTest.java
@@ -193,4 +193,25 @@
         assertTrue(node.sentTo("s2") > 0, "nothing was sent to it");
         assertTrue(node.sentTo("s2") <= 10, "sent to it at once: " + node.sentTo("s2"));
     }
+
+    /** At seven tenths of the aim servers that stayed were crowded past it before any limit was cut. */
+    @Test
+    void anAnswerWellPastHalfOfItsAimCutsTheLimit() {
+        int[] sent = new int[2];
+        for (int late = 0; late < 2; late++) {
+            Balancer.Settings set = Node.settings();
+            set.warmKeys = true;
+            Node node = new Node(set, 7).with(1);
+            for (int i = 0; i < 30; i++) {
+                // The aim is 200 ms.
+                node.answer(node.askFor("k" + i, Node.UNSAFE), Result.OK, late == 1 ? 130_000 : 100_000);
+            }
+            for (int i = 0; i < 10; i++) {
+                node.askFor("k" + i, Node.UNSAFE);
+            }
+            sent[late] = node.sent.size() - 30;
+        }
+        assertEquals(10, sent[0]);
+        assertTrue(sent[1] <= 2, "sent at once to a crowded server: " + sent[1]);
+    }
 }
