Rehearse as many requests as come to a node in a second, not always 250

Measured alone on one core it takes 0.8 to 1.1 s of CPU; with one rehearsed request 0.4 to 0.6, with 60 0.6 to 0.7, with 120 0.8. Ruled out: class data (a new class list, 0.8 to 1.1 as before), interpreting alone (-Xint, 1.2 to 1.6) and compiling later (0.8).

At fault: Rehearsal.REQUESTS, fitted where four nodes took hundreds of requests a second each and cold code stood still under them. At size a node gets about 70 a second and can compile while it serves. The number is now what tenants may ask of this node in a second, from the settings, at most 250 as before.

--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -34,6 +35,8 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.Balancer.Tenant;
 
 /**
  * Warms a starting process before it listens: a node apart serves requests between a client and a server of
@@ -46,6 +49,11 @@
      * and more, and clients that give up and ask again make it more work. With half as many a node alone was
      * ready half a second sooner and lost more than that by it. */
     static final int REQUESTS = 250;
+    /** What comes to a node in this time is enough: where few requests come, cold code may meet them. Nodes
+     * that were killed together are missed for as long as this takes them. */
+    private static final double SECONDS = 1;
+    /** Each class of requests some times, so that all code for them is loaded at least. */
+    private static final int LEAST_REQUESTS = 40;
     private static final int CLIENTS = 4;
     /** A start must not wait for longer, however little CPU there is. On half a core that another node shares
      * 500 ms were over after 60 requests. Harm: a restart takes so much longer. */
@@ -53,14 +61,26 @@
 
     private final EventLoop loop;
     private final List<RequestClass> classes;
-    private final CountDownLatch left = new CountDownLatch(REQUESTS);
+    private final int requests;
+    private final CountDownLatch left;
 
     private long asked;
     private volatile boolean turnedDown;
 
-    private Rehearsal(EventLoop loop, List<RequestClass> classes) {
+    private Rehearsal(EventLoop loop, Settings settings) {
         this.loop = loop;
-        this.classes = classes;
+        classes = settings.classes;
+        requests = requests(settings);
+        left = new CountDownLatch(requests);
+    }
+
+    /** How many to serve, by what tenants may ask of this node; the most where any may ask without limit. */
+    static int requests(Settings settings) {
+        if (settings.tenants.stream().anyMatch(tenant -> tenant.quotaPerS() <= 0)) {
+            return REQUESTS;
+        }
+        double perS = settings.tenants.stream().mapToDouble(Tenant::quotaPerS).sum() / settings.nodes;
+        return (int) Math.max(LEAST_REQUESTS, Math.min(REQUESTS, SECONDS * perS));
     }
 
     /**
@@ -69,7 +89,7 @@
      * @return how many were served; 0 if any was turned down, as then it was something else that got warm
      */
     static long play(NodeConfig config, EventLoop loop) {
-        return new Rehearsal(loop, config.settings().classes).play(config);
+        return new Rehearsal(loop, config.settings()).play(config);
     }
 
     private long play(NodeConfig config) {
@@ -94,7 +114,7 @@
         }
         node.close();
         server.close();
-        return turnedDown ? 0 : REQUESTS - left.getCount();
+        return turnedDown ? 0 : requests - left.getCount();
     }
 
     private ChannelInitializer<SocketChannel> pipeline(boolean server) {
@@ -103,11 +123,19 @@
             protected void initChannel(SocketChannel channel) {
                 ChannelHandler codec = server ? new HttpServerCodec() : new HttpClientCodec();
                 channel.pipeline().addLast(codec, new HttpObjectAggregator(Limits.MOST_BODY),
-                        server ? new FarServer() : new FarClient());
+                        server ? new FarServer() : new FarClient(), new Ending());
             }
         };
     }
 
+    /** The node closes with requests under way: what resets of them reach the far sides is no fault. */
+    static final class Ending extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
     /** Answers all that it is asked. */
     private static final class FarServer extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
--- a/src/test/java/kitemux/node/RehearsalTest.java
+++ b/src/test/java/kitemux/node/RehearsalTest.java
@@ -1,8 +1,10 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -10,6 +12,10 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.netty.channel.embedded.EmbeddedChannel;
+
+import kitemux.Balancer.Tenant;
+
 /** What a starting process does before it listens. */
 class RehearsalTest {
 
@@ -41,6 +47,26 @@
         }
     }
 
+    /** A start took all nodes that were killed together 2.5 s, half of it for code that few requests use. */
+    @Test
+    void aNodeOfManyRehearsesForTheFewRequestsThatComeToIt() throws Exception {
+        try (Site site = Site.quiet()) {
+            site.settings.tenants.set(0, new Tenant("org", 1_400));
+            site.settings.nodes = 4;
+            assertEquals(Rehearsal.REQUESTS, Rehearsal.requests(site.settings));
+            site.settings.nodes = 14;
+            assertEquals(100, Rehearsal.play(site.config(Site.list(1, true)), site.loop));
+        }
+    }
+
+    @Test
+    void aResetOfItsOwnConnectionsEndsThemAndNothingMore() {
+        EmbeddedChannel channel = new EmbeddedChannel(new Rehearsal.Ending());
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        channel.checkException();
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void aNodeThatIsClosedLeavesNothingOpen() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
