Notice a silent watch after 3 s, and hold all calls behind it to one clock

Ruled out: a lost word of a drain in the pool or the module. No other rule, and no send after the new watch's list.

At fault: Discovery.MOST_SILENCE_US of 7 s; and each new watch began a fresh 7 s, with the head of an answer or a part of a list counting as a word, so that a call that hung or came up silent added up past the time. Now a watch is broken after a beat and a half, counted from lists and beats only. Calls behind it wait for half of what is left of the 6 s since the last word (Patience), else for 4 s or half of what the settings give for asking.

The tests: a watch that comes up and sends bytes without ever saying a word (fails with "line without an end" if an answer's head and parts count as words), and the sum of all waits against the time to being told.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -41,15 +41,14 @@
         void failed(String reason);
     }
 
-    /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
-    static final long MOST_SILENCE_US = 7_000_000;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
 
     private final EventLoop loop;
     private final List<String> zones;
-    private final long mostSilenceUs;
+    private final Patience patience;
+    private final Clock clock;
     private final Listener listener;
     private final Bootstrap dialer;
     private final ObjectMapper json = new ObjectMapper();
@@ -59,10 +58,13 @@
     private boolean revIsOfHere = true;
     private boolean wanted;
     private Watch current;
+    /** When discovery last said something, on whichever watch; of that moment every silence is counted. */
+    private long heardAtUs = Patience.NEVER;
 
-    Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
+    Discovery(EventLoop loop, NodeConfig config, Patience patience, Clock clock, Listener listener) {
         this.loop = loop;
-        this.mostSilenceUs = mostSilenceUs;
+        this.patience = patience;
+        this.clock = clock;
         this.listener = listener;
         address = config.discovery();
         zones = config.settings().zones;
@@ -88,7 +90,7 @@
         current = watch;
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
-        watch.expectMore();
+        watch.expectWithin(patience.firstWordUs(clock.nowUs(), heardAtUs));
         opening.addListener(done -> {
             if (!done.isSuccess()) {
                 watch.broken("no connection: " + done.cause().getMessage());
@@ -124,11 +126,17 @@
         private boolean over;
         private boolean told;
 
-        private void expectMore() {
+        private void expectWithin(long us) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> broken("silent"), mostSilenceUs, TimeUnit.MICROSECONDS);
+            silence = loop.schedule(() -> broken("silent"), us, TimeUnit.MICROSECONDS);
+        }
+
+        /** A list or a beat. The head of an answer is none: a watch may come up and say nothing. */
+        private void heard() {
+            heardAtUs = clock.nowUs();
+            expectWithin(patience.silenceUs());
         }
 
         /** Ends without a word. */
@@ -151,7 +159,6 @@
             if (over) {
                 return;
             }
-            expectMore();
             if (message.decoderResult().isFailure()) {
                 broken("answer cannot be read");
             } else if (message instanceof HttpResponse response && response.status().code() != 200) {
@@ -194,6 +201,7 @@
                 broken("bad line: " + e.getMessage());
                 return;
             }
+            heard();
             if (list != null) {
                 told = true;
                 rev = list.rev();
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -113,7 +113,8 @@
                         });
                     }
                 });
-        discovery = new Discovery(loop, config, Discovery.MOST_SILENCE_US, new Discovery.Listener() {
+        Patience patience = Patience.of(config.settings());
+        discovery = new Discovery(loop, config, patience, clock, new Discovery.Listener() {
             @Override
             public void listed(HostList list) {
                 list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -12,15 +12,21 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import kitemux.Balancer.Settings;
+
 /** The watch on the list. */
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
+    private static final Patience USUAL = Patience.of(new Settings());
+    private static final Patience SHORT = new Patience(100_000, 200_000, 50_000, 100_000);
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
+    private final BlockingQueue<String> reasons = new LinkedBlockingQueue<>();
+
     /** A watch alone; what it tells comes as a line. */
-    private static Discovery watch(Site site, long mostSilenceUs, BlockingQueue<String> told)
+    private Discovery watch(Site site, Patience patience, BlockingQueue<String> told)
             throws Exception {
-        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), mostSilenceUs,
+        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), patience, new Clock(),
                 new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
@@ -30,6 +36,7 @@
                     @Override
                     public void failed(String reason) {
                         told.add("failed");
+                        reasons.add(reason);
                     }
                 });
         site.loop.execute(discovery::subscribe);
@@ -40,7 +47,7 @@
     void listsComeInPiecesAndTheNextWatchGoesOnFromTheLast() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            Discovery discovery = watch(site, USUAL, told);
             assertEquals("/discovery/hosts?watch=1&after=41", FarServer.next(site.discovery.requests).path());
             FarServer.Peer peer = FarServer.next(site.discovery.peers);
             String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating");
@@ -59,7 +66,7 @@
     void aBeatAsTheFirstWordSaysThatNothingHasChanged() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, Discovery.MOST_SILENCE_US, told);
+            watch(site, USUAL, told);
             FarServer.next(site.discovery.peers).write(Site.chunk("\n") + Site.chunk("\n")
                     + Site.chunk(Site.list(42, false, ENTRY) + "\n"));
             assertEquals("41 changes 0", FarServer.next(told));
@@ -77,7 +84,7 @@
     void aBadLineBreaksTheWatch(String line) throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, Discovery.MOST_SILENCE_US, told);
+            watch(site, USUAL, told);
             FarServer.next(site.discovery.peers).write(Site.chunk(line + "\n"));
             assertEquals("failed", FarServer.next(told));
             FarServer.next(site.discovery.ended);
@@ -88,12 +95,51 @@
     void aSilentWatchIsBroken() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, 100_000, told);
+            watch(site, SHORT, told);
             assertEquals("failed", FarServer.next(told));
             assertTrue(told.isEmpty());
         }
     }
 
+    @Test
+    void aWatchThatCameUpAndSaysNothingIsBrokenHoweverMuchElseComes() throws Exception {
+        try (Site site = new Site(new FarServer((request, peer) -> {
+            peer.write(Site.watchHead());
+            // A word without end: the connection is not silent, discovery is.
+            while (true) {
+                peer.write(Site.chunk("{"));
+            }
+        }))) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            watch(site, SHORT, told);
+            assertEquals("failed", FarServer.next(told));
+            assertEquals("silent", FarServer.next(reasons));
+        }
+    }
+
+    @Test
+    void theWatchIsOpenedAnewAndAnsweredBeforeASilentOneCountsAsTold() {
+        // The module's waits before the first and the second call, at the most; one call may fail.
+        long firstWaitUs = 375_000;
+        long secondWaitUs = 750_000;
+        long at = USUAL.silenceUs() + firstWaitUs;
+        long firstCallUs = USUAL.firstWordUs(at, 0);
+        assertTrue(at + firstCallUs < USUAL.toldUs(), "a first call that is answered late");
+        at += firstCallUs + secondWaitUs;
+        assertTrue(at < USUAL.toldUs(), "the second call is out before");
+        // A call long after the last word, or before any, waits for what discovery itself allows.
+        assertEquals(USUAL.callUs(), USUAL.firstWordUs(7_000_000, 0));
+        assertEquals(USUAL.callUs(), USUAL.firstWordUs(0, Patience.NEVER));
+    }
+
+    @Test
+    void callsFitIntoWhatTheSettingsGiveForAsking() {
+        Settings hurried = new Settings();
+        hurried.askWithinUs = 3_000_000;
+        Patience patience = Patience.of(hurried);
+        assertTrue(2 * patience.firstWordUs(0, Patience.NEVER) <= hurried.askWithinUs);
+    }
+
     @Test
     void aNodeAsksAgainAfterARefusalAndThenUsesTheList() throws Exception {
         AtomicInteger calls = new AtomicInteger();
@@ -113,7 +159,7 @@
         try (Site site = Site.quiet(); FarServer there = new FarServer((request, peer) -> peer.write(
                 Site.watchHead() + Site.chunk(Site.list(7, true, ENTRY) + "\n")))) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            Discovery discovery = watch(site, USUAL, told);
             FarServer.next(site.discovery.requests);
             InetSocketAddress to = NodeConfig.address("discovery", there.endpoint());
             site.loop.execute(() -> discovery.moveTo(to));
