Read lists that are indented, cut at any byte or several at once

The reader took one line for one object, so that the first line of an indented list, "{", broke the watch as "bad line", each time anew: the node would have kept its first list for good.

At fault: Discovery.Watch.readLine. A part of an object is no word: one that is never finished makes the watch silent.

With Discovery as before, aListIsReadHoweverItIsCutAndLaidOut fails with "expected: <42 all 2> but was: <failed>".

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -1,16 +1,16 @@
 package kitemux.node;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.JsonNode;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -42,8 +42,6 @@
     }
 
     private static final int CONNECT_TIMEOUT_MS = 2_000;
-    /** No list is so long; a line without an end must not fill the memory. */
-    private static final int MOST_LINE = 4 << 20;
 
     private final EventLoop loop;
     private final List<String> zones;
@@ -51,7 +49,6 @@
     private final Clock clock;
     private final Listener listener;
     private final Bootstrap dialer;
-    private final ObjectMapper json = new ObjectMapper();
     private InetSocketAddress address;
     private long rev;
     /** Whether the version is one of this place's, so that a watch can go on from it. */
@@ -120,7 +117,7 @@
     }
 
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ListReader reader = new ListReader();
         private Channel channel;
         private Future<?> silence;
         private boolean over;
@@ -172,44 +169,40 @@
         }
 
         private void read(ByteBuf bytes) {
-            while (bytes.isReadable() && !over) {
-                int length = bytes.bytesBefore((byte) '\n');
-                byte[] part = new byte[length < 0 ? bytes.readableBytes() : length];
-                bytes.readBytes(part);
-                line.writeBytes(part);
-                if (line.size() > MOST_LINE) {
-                    broken("line without an end");
-                } else if (length >= 0) {
-                    bytes.skipBytes(1);
-                    byte[] whole = line.toByteArray();
-                    line.reset();
-                    readLine(whole);
-                }
+            if (!bytes.isReadable()) {
+                return;
             }
-        }
-
-        private void readLine(byte[] whole) {
-            HostList list;
+            List<HostList> lists = new ArrayList<>(1);
             try {
-                if (new String(whole, StandardCharsets.US_ASCII).isBlank()) {
-                    // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    list = told || !revIsOfHere ? null : new HostList(rev, false, List.of());
-                } else {
-                    list = HostList.decode(json.readTree(whole), zones, "");
+                for (JsonNode object : reader.read(ByteBufUtil.getBytes(bytes))) {
+                    lists.add(HostList.decode(object, zones, ""));
                 }
             } catch (IOException | ConfigException e) {
-                broken("bad line: " + e.getMessage());
+                broken("bad list: " + e.getMessage());
+                return;
+            }
+            if (lists.isEmpty() && !reader.isBetweenObjects()) {
                 return;
             }
             heard();
-            if (list != null) {
-                told = true;
-                rev = list.rev();
-                revIsOfHere = true;
-                listener.listed(list);
+            if (lists.isEmpty() && !told && revIsOfHere) {
+                // A beat as the first word says that nothing has changed: the call has its answer.
+                lists.add(new HostList(rev, false, List.of()));
+            }
+            for (HostList list : lists) {
+                if (!over) {
+                    accept(list);
+                }
             }
         }
 
+        private void accept(HostList list) {
+            told = true;
+            rev = list.rev();
+            revIsOfHere = true;
+            listener.listed(list);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             broken("connection ended");
