Do not use a list whose version goes back; ask for the whole list instead

Such a watch is broken now and the next one asks for the whole list, which holds whatever its version, as a discovery that has begun anew may count from one. A repeat of the version held does no harm and is passed on.

With Discovery as before, aVersionThatGoesBackIsNotUsedAndTheWholeListAskedFor fails with "expected: <failed> but was: <42 all 1>" and "<42 changes 1>". A version past 64 bits is refused like any other that is no whole number.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -197,6 +197,13 @@
         }
 
         private void accept(HostList list) {
+            if (revIsOfHere && list.rev() < rev && (told || !list.all())) {
+                // Late, or of a discovery that counts anew: what it says of a drain may be older than what is
+                // known. The whole list, as the first word on the next watch, holds whatever its version.
+                revIsOfHere = false;
+                broken("version " + list.rev() + " comes after " + rev);
+                return;
+            }
             told = true;
             rev = list.rev();
             revIsOfHere = true;
--- a/src/main/java/kitemux/node/HostList.java
+++ b/src/main/java/kitemux/node/HostList.java
@@ -29,7 +29,7 @@
      */
     static HostList decode(JsonNode list, List<String> zones, String at) throws ConfigException {
         JsonNode targets = list.path("targets");
-        if (!list.path("rev").isIntegralNumber()) {
+        if (!list.path("rev").isIntegralNumber() || !list.path("rev").canConvertToLong()) {
             throw new ConfigException(at + "rev", "is missing or not a whole number");
         }
         if (!targets.isArray()) {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -87,6 +87,26 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aVersionThatGoesBackIsNotUsedAndTheWholeListAskedFor(boolean whole) throws Exception {
+        try (Site site = Site.quiet()) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, USUAL, told);
+            FarServer.next(site.discovery.requests);
+            FarServer.Peer peer = FarServer.next(site.discovery.peers);
+            peer.write(Site.chunk(Site.list(43, false, "s0=10.0.0.1:80=Terminating") + "\n"
+                    + Site.list(43, false) + "\n" + Site.list(42, whole, ENTRY) + "\n"));
+            assertEquals("43 changes 1", FarServer.next(told));
+            assertEquals("43 changes 0", FarServer.next(told), "a repeat does no harm");
+            assertEquals("failed", FarServer.next(told));
+            site.loop.execute(discovery::subscribe);
+            assertEquals("/discovery/hosts?watch=1", FarServer.next(site.discovery.requests).path());
+            FarServer.next(site.discovery.peers).write(Site.chunk(Site.list(7, true, ENTRY)));
+            assertEquals("7 all 1", FarServer.next(told), "a discovery that counts anew");
+        }
+    }
+
     @Test
     void anObjectWithoutAnEndIsBounded() throws Exception {
         try (Site site = new Site(new FarServer((request, peer) -> {
