Keep a watch open where lists are pushed, and listen once the first list is there

What the agent has counts as told from the first moment of a process, so clients were also let in before the first list. A node that rehearses has no discovery at all.

Where lists are asked for nothing changes. With the listening not held back and no watch opened, the test fails: the request gets "leaving" instead of "stays".

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -101,6 +101,11 @@
         });
     }
 
+    /** Whether a watch is open or being opened. */
+    boolean isOpen() {
+        return current != null;
+    }
+
     /**
      * Discovery is elsewhere from now on. The watch goes there at once; no failure is told of the old one.
      * Nothing says that versions mean the same at both places, so the whole list is asked for.
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,5 +1,6 @@
 package kitemux.node;
 
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +26,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
@@ -50,6 +52,8 @@
     private final ServerPool pool;
     private final ClientServer clients;
     private final Discovery discovery;
+    /** Keeps the watch open where the module is not to ask for lists; else null. */
+    private final PushedLists pushed;
     private final Balancer balancer;
 
     private final Map<Long, Held> held = new HashMap<>();
@@ -113,8 +117,7 @@
                         });
                     }
                 });
-        Patience patience = Patience.of(config.settings());
-        discovery = new Discovery(loop, config, patience, clock, new Discovery.Listener() {
+        Discovery.Listener lists = new Discovery.Listener() {
             @Override
             public void listed(HostList list) {
                 list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
@@ -125,7 +128,10 @@
                 Log.line("discovery: " + reason);
                 tell(null, () -> balancer.onListFailed(clock.nowUs()));
             }
-        });
+        };
+        pushed = config.settings().listOnRequest ? null : new PushedLists(loop, config, lists);
+        discovery = new Discovery(loop, config, Patience.of(config.settings()), clock,
+                pushed == null ? lists : pushed);
         balancer = module.apply(this);
     }
 
@@ -145,7 +151,7 @@
         Node node = new Node(config, loop);
         Reload.onHangUp(env, node);
         Rehearsal.play(config, loop);
-        ChannelFuture listening = node.start().awaitUninterruptibly();
+        Future<SocketAddress> listening = node.start().awaitUninterruptibly();
         if (!listening.isSuccess()) {
             System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
             System.exit(2);
@@ -166,14 +172,32 @@
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
-    /** Begins to serve; the future is done once clients can connect. */
-    ChannelFuture start() {
-        loop.execute(() -> list(config.known(), ListKind.CACHED));
-        housekeeping = loop.scheduleAtFixedRate(() -> {
-            pool.closeOld();
-            clients.closeOld();
-        }, Limits.HOUSEKEEPING_MS, Limits.HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
-        return clients.listen(config.listen());
+    /** Begins to serve; the future is done once clients can connect, with where they can. */
+    Future<SocketAddress> start() {
+        Promise<SocketAddress> listening = loop.newPromise();
+        loop.execute(() -> {
+            list(config.known(), ListKind.CACHED);
+            housekeeping = loop.scheduleAtFixedRate(() -> {
+                pool.closeOld();
+                clients.closeOld();
+            }, Limits.HOUSEKEEPING_MS, Limits.HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+            if (pushed == null || config.discovery() == null) {
+                listen(listening);
+            } else {
+                pushed.keepOpen(discovery, () -> listen(listening));
+            }
+        });
+        return listening;
+    }
+
+    private void listen(Promise<SocketAddress> listening) {
+        clients.listen(config.listen()).addListener((ChannelFuture opened) -> {
+            if (opened.isSuccess()) {
+                listening.setSuccess(opened.channel().localAddress());
+            } else {
+                listening.setFailure(opened.cause());
+            }
+        });
     }
 
     /** Takes over what may change while a node runs, which is where discovery is. */
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -21,7 +21,7 @@
  * What a node is told at its start, by the environment and the configuration file.
  *
  * @param listen where clients connect
- * @param discovery where the server list is had
+ * @param discovery where the server list is had; null for a node that keeps to the one it knows
  * @param seed for random numbers, new with each start
  * @param sockets how many descriptors the process may hold
  * @param connIdleUs after so long servers close idle connections
@@ -115,8 +115,8 @@
         apart.tenants.addAll(settings.tenants);
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
-        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), discovery, seed, sockets,
-                connIdleUs, servers, apart);
+        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, seed, sockets, connIdleUs,
+                servers, apart);
     }
 
     private static HostList known(JsonNode json, List<String> zones) throws ConfigException {
--- a/src/main/java/kitemux/node/Patience.java
+++ b/src/main/java/kitemux/node/Patience.java
@@ -23,9 +23,10 @@
     /** Discovery ends calls itself that have to wait for too long: this is for one that is silent. */
     private static final long CALL_US = 4_000_000;
 
-    /** Two calls fit into the time that the settings give for asking. */
+    /** Two calls fit into the time that the settings give for asking, where that is how lists are had. */
     static Patience of(Settings settings) {
-        long call = Math.max(LEAST_US, Math.min(CALL_US, settings.askWithinUs / 2));
+        long call = !settings.listOnRequest ? LEAST_US
+                : Math.max(LEAST_US, Math.min(CALL_US, settings.askWithinUs / 2));
         return new Patience(SILENCE_US, TOLD_US, Math.min(LEAST_US, call), call);
     }
 
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -100,12 +101,12 @@
         HostList.Host host = new HostList.Host(new ServerEntry("rehearsal", 0, 0, ServerState.READY, 1, 0),
                 (InetSocketAddress) server.localAddress());
         Node node = new Node(config.apart(new HostList(0, true, List.of(host))), loop);
-        Channel listening = node.start().syncUninterruptibly().channel();
+        SocketAddress listening = node.start().syncUninterruptibly().getNow();
         Bootstrap client = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .handler(pipeline(false));
         for (int i = 0; i < CLIENTS; i++) {
-            client.connect(listening.localAddress());
+            client.connect(listening);
         }
         try {
             left.await(MOST_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -237,4 +237,39 @@
             assertEquals(1, site.discovery.connections.get());
         }
     }
+
+    @Test
+    void pushedListsAreWatchedFromTheStartAndBeforeClientsCanConnect() throws Exception {
+        try (FarServer leaving = FarServer.serving("leaving"); FarServer stays = FarServer.serving("stays");
+                FarServer agent = new FarServer((request, peer) -> {
+                    if (request.path().endsWith("after=1")) {
+                        peer.write(Site.watchHead() + Site.chunk(Site.list(2, false,
+                                "s0=" + leaving.endpoint() + "=Terminating",
+                                "s1=" + stays.endpoint() + "=Ready") + "\n"));
+                    } else {
+                        peer.write(Site.watchHead() + Site.chunk("\n"));
+                    }
+                }); Site site = new Site(agent)) {
+            site.settings.listOnRequest = false;
+            site.startKnowing(Site.list(1, true, "s0=" + leaving.endpoint() + "=Ready"));
+            assertEquals("stays", site.ask(Http.page("/api/p", "t", "5000m")).body());
+            assertEquals("/discovery/hosts?watch=1&after=1", FarServer.next(agent.requests).path());
+            // A watch that ends is opened anew, without a word from the module.
+            FarServer.next(agent.peers).reset();
+            assertEquals("/discovery/hosts?watch=1&after=2", FarServer.next(agent.requests).path());
+            FarServer.next(agent.peers).reset();
+            assertEquals("/discovery/hosts?watch=1&after=2", FarServer.next(agent.requests).path());
+            assertEquals(0, leaving.connections.get());
+        }
+    }
+
+    @Test
+    void withoutTheAgentThatPushesListsANodeServesWithTheListItKnows() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = new Site(new FarServer((r, peer) -> { }))) {
+            site.settings.listOnRequest = false;
+            site.discovery.stop();
+            site.start(server);
+            assertEquals(200, site.ask(Http.page("/api/p", "t", "5000m")).status());
+        }
+    }
 }
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -100,7 +100,7 @@
 
     Site startKnowing(String known) throws Exception {
         node = new Node(config(known), loop, module);
-        address = (InetSocketAddress) node.start().sync().channel().localAddress();
+        address = (InetSocketAddress) node.start().sync().getNow();
         return this;
     }
 
