Read on behind a request sent ahead, so that its client's leaving is seen

Found by reading for waits in which a departure goes unseen: with a second request on its connection a client was no longer read (ClientConnection.take set auto-read off), so neither its end was seen while the first was deferred or out, nor before the second went to a server, for nobody. Reading goes on now; what is sent ahead is bounded by number as before and by 64 KiB of bodies, and what passes either bound is turned down. Before, one read could bring the 16 requests of 64 KiB that the bound allows.

With ClientConnection as before, aClientThatClosesBehindARequestSentAheadIsGoneToo fails with "nothing came": the attempt is never given up. whatIsSentAheadIsBounded now holds the first answer back till all is read: as strict, and no longer dependent on reading having stopped.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -37,6 +37,8 @@
     private final ClientListener.Accepted channel;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
+    /** Bodies sent ahead since last nothing waited. */
+    private int waitingBytes;
 
     private HttpRequest head;
     private ByteArrayOutputStream body;
@@ -163,9 +165,10 @@
             channel.eventLoop().execute(this::serveNext);
             return;
         }
-        // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
-        channel.config().setAutoRead(false);
-        if (waiting.size() > (busy ? 0 : 1) + Limits.MOST_AHEAD && !deaf) {
+        // Sent ahead of the answer. Reading goes on, as only that shows that the client has left: what it has
+        // sent, and what it asked before, would else be sent on for nobody. So what waits is bounded here.
+        waitingBytes += next.body.length;
+        if ((waiting.size() > (busy ? 0 : 1) + Limits.MOST_AHEAD || waitingBytes > Limits.MOST_BODY) && !deaf) {
             waiting.removeLast();
             turnDown(HttpResponseStatus.BAD_REQUEST);
         }
@@ -249,11 +252,11 @@
     private void serveNext() {
         Incoming next = busy || !keepAlive || !channel.isActive() ? null : waiting.poll();
         if (next != null) {
+            if (waiting.isEmpty()) {
+                waitingBytes = 0;
+            }
             serve(next);
         }
-        if (waiting.isEmpty()) {
-            channel.config().setAutoRead(true);
-        }
     }
 
     // ---------------------------------------------------------------- its end
--- a/src/main/java/kitemux/node/Limits.java
+++ b/src/main/java/kitemux/node/Limits.java
@@ -10,7 +10,8 @@
     static final int MOST_ANSWERS = 16 << 20;
     /** Room that an answer is given before it comes, whatever length it says it has. */
     static final int FIRST_ROOM = 16 << 10;
-    /** Requests that a client may send ahead of the answer: each takes memory, and clients send one. */
+    /** Requests that a client may send ahead of the answer, with bodies of {@link #MOST_BODY} in all: each
+     * takes memory, and clients send one. */
     static final int MOST_AHEAD = 16;
     /** Connections taken in one turn of the loop. Netty's sixteen were fewer than came while a turn took
      * 100 ms: clients gave up in the backlog, and the next turn met only those. More would need more
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -133,6 +133,46 @@
         }
     }
 
+    @Test
+    void aClientThatClosesBehindARequestSentAheadIsGoneToo() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> {
+            if (!request.headers().get("x-txn").equals("open")) {
+                peer.write(Http.ok("x"));
+            }
+        }); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/x", "open", "3600000m"));
+            FarServer.next(server.requests);
+            Site.write(client, Http.page("/api/x", "ahead", "5000m"));
+            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            client.close();
+            // The open one is given up at once, and the one behind it is never sent.
+            FarServer.next(server.ended);
+            assertEquals(200, site.ask(Http.page("/api/x", "later", "5000m")).status());
+            assertEquals("later", FarServer.next(server.requests).headers().get("x-txn"));
+        }
+    }
+
+    @Test
+    void bodiesSentAheadAreBounded() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/x", "open", "5000m"));
+            FarServer.next(server.requests);
+            for (String txn : new String[] {"a", "b"}) {
+                Site.write(client, Http.order(txn, "5000m").replace("Length: 2\r\n\r\nab",
+                        "Length: 40000\r\n\r\n" + "a".repeat(40_000)));
+            }
+            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            answer.countDown();
+            for (int status : new int[] {200, 200, 400}) {
+                assertEquals(status, Http.read(client.getInputStream()).status());
+            }
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
     @Test
     void aDrainingNodeSaysSoServesWhatItHasAndEnds() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
@@ -365,13 +405,18 @@
 
     @Test
     void whatIsSentAheadIsBounded() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        CountDownLatch first = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(first, "x"); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 300; i++) {
-                many.append(Http.page("t" + i));
+                many.append(Http.page("/api/p", "t" + i, "5000m"));
             }
             Site.write(client, many.toString());
+            // All of it is read before the first is answered.
+            FarServer.next(server.requests);
+            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            first.countDown();
             int served = 0;
             Http.Message answer = Http.read(client.getInputStream());
             for (; answer.status() == 200; answer = Http.read(client.getInputStream())) {
