Tell the module once all is read, and send nothing on for who has left

Found by reading for moments in which a client's leaving meets a send; each is forced by a test: - A loop that is behind reads an answer, tells the module at once, and the module sends a deferred request on, whose client's end is read next in the same turn (Node.tell). The module is told after all that has come is read. - Where the settings forbid cancelling, a request that awaits a connection was carried by it although its client had left or had its answer (ServerPool.offer). What nobody waits for ends as moot now, as it was never sent. - A departure was known to the node only once the module was told. The request ends at once now.

With Node, ServerPool and ClientConnection as before, BacklogTest fails with "expected: <stays> but was: <left>" and "expected: <[stays]> but was: <[stays, left]>".

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -287,6 +287,11 @@
         }
     }
 
+    /** Whether the client is there, as far as is read. */
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
     /** Whether all that has come is read. */
     boolean isQuiet() {
         return channel.isQuiet();
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -110,8 +110,8 @@
                     @Override
                     public void left(ClientConnection client) {
                         Held gone = client.held;
+                        end(gone);
                         tell(gone, () -> {
-                            end(gone);
                             balancer.onClientGone(clock.nowUs(), gone.id);
                             forgetIfOver(gone);
                         });
@@ -227,12 +227,19 @@
 
     // ---------------------------------------------------------------- events for the module
 
+    /**
+     * The module is told once all is read that has come on any connection. Else it would, on word from one,
+     * send on a request whose client has left, as the end of that connection is read next.
+     */
     private void tell(Held about, Runnable call) {
         events.add(new Event(about, call));
-        if (telling) {
-            return;
+        if (!telling) {
+            telling = true;
+            loop.execute(this::tellAll);
         }
-        telling = true;
+    }
+
+    private void tellAll() {
         try {
             Event event;
             while ((event = events.poll()) != null) {
@@ -314,9 +321,15 @@
             return message;
         }
 
+        /** Not if it is answered or its client has left, be the module to hear of that or not. */
+        @Override
+        public boolean isWanted() {
+            return !of.ended && of.client.isOpen();
+        }
+
         void begin() {
             of.outstanding++;
-            if (untilUs <= sentAtUs || number >= config.settings().maxAttempts || of.ended) {
+            if (untilUs <= sentAtUs || number >= config.settings().maxAttempts || !isWanted()) {
                 ended(Result.MOOT, NO_BODY);
                 return;
             }
@@ -459,6 +472,11 @@
             pool.start(serverId, this);
         }
 
+        @Override
+        public boolean isWanted() {
+            return true;
+        }
+
         @Override
         public FullHttpRequest message() {
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -35,6 +35,9 @@
 final class ServerPool {
     /** What is sent to a server and waits for its answer. */
     interface Exchange {
+        /** Whether anybody still waits for it; what nobody waits for is not sent. */
+        boolean isWanted();
+
         /** The message; asked for once, when a connection is there to carry it. */
         FullHttpRequest message();
 
@@ -279,9 +282,13 @@
             }
             idleSinceUs = clock.nowUs();
             upstream.idle.push(this);
-            Exchange next = upstream.awaiting.poll();
-            if (next != null) {
-                carry(next);
+            Exchange next;
+            while ((next = upstream.awaiting.poll()) != null) {
+                if (next.isWanted()) {
+                    carry(next);
+                    return;
+                }
+                next.ended(Result.MOOT, NO_BODY);
             }
         }
 
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -1,12 +1,18 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +21,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.netty.channel.EventLoop;
 
@@ -77,6 +85,63 @@
         }
     }
 
+    @Test
+    void aDeferredRequestWhoseClientLeavesAsAPlaceComesFreeIsNotSent() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> { }); Site site = Site.quiet().start(server)) {
+            // As many as the module sends to one server at first; the next waits for a place.
+            for (int i = 0; i < 4; i++) {
+                Site.write(site.connect(), Http.page("/api/p", "t" + i, "60000m"));
+                FarServer.next(server.requests);
+            }
+            Socket leaves = site.connect();
+            Site.write(leaves, Http.page("/api/p", "left", "60000m"));
+            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            CountDownLatch release = holdUp(site.loop);
+            // The answer comes first, so that the loop reads it before the end of the client's connection.
+            FarServer.next(server.peers).write(Http.ok("x"));
+            leaves.close();
+            Socket stays = site.connect();
+            Site.write(stays, Http.page("/api/p", "stays", "60000m"));
+            release.countDown();
+            assertEquals("stays", FarServer.next(server.requests).headers().get("x-txn"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRequestWhoseClientLeavesWhileItAwaitsAConnectionIsNotSent(boolean cancel) throws Exception {
+        // A listener whose backlog is full: connections to it come up only as it accepts.
+        try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                Site site = Site.quiet()) {
+            assertTrue(one.isConnected() && two.isConnected());
+            site.settings.cancel = cancel;
+            site.settings.connectTimeoutUs = 20_000_000;
+            site.startKnowing(Site.list(1, true, "s0=127.0.0.1:" + hanging.getLocalPort() + "=Ready"));
+            Socket leaves = site.connect();
+            Site.write(leaves, Http.order("left", "60000m"));
+            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            leaves.close();
+            Socket stays = site.connect();
+            Site.write(stays, Http.order("stays", "60000m"));
+            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            // Room in the backlog: both connections come up now.
+            hanging.accept();
+            hanging.accept();
+            Set<String> sent = new HashSet<>();
+            hanging.setSoTimeout(20_000);
+            while (!sent.contains("stays")) {
+                Socket come = hanging.accept();
+                Http.Message request = Http.read(come.getInputStream());
+                sent.add(request.headers().get("x-txn"));
+                come.getOutputStream().write(Http.ok("x").getBytes(StandardCharsets.US_ASCII));
+            }
+            assertEquals(Set.of("stays"), sent);
+            assertEquals(200, Http.read(stays.getInputStream()).status());
+        }
+    }
+
     @Test
     void allWhoCameMeanwhileAreTakenTogether() throws Exception {
         AtomicInteger turns = new AtomicInteger();
