Let a connection rest 20 ms after an answer, so that a second one is not the next's

Only what had come in the same read was caught. At fault: ServerPool.channelReadComplete offered the connection at once. It rests now for Limits.REST_US; what comes meanwhile closes it. A drain or a closing of idle connections takes what rests along, too.

With the rest left out, aSecondAnswerSomeTimeBehindTheFirstDoesNotAnswerTheNext fails ("nothing came": the second request goes out on the connection on which the stray answer comes).

--- a/src/main/java/kitemux/node/Limits.java
+++ b/src/main/java/kitemux/node/Limits.java
@@ -30,6 +30,9 @@
     static final long FRESH_MS = 100;
     /** After SIGTERM connections arrive for 0.4 s more; a tenth is room for those under way. */
     static final long ARRIVING_MS = 500;
+    /** In which a connection to a server carries nothing after an answer: servers that spoil answers send a
+     * second some milliseconds behind, which nothing tells from the answer to the next request. */
+    static final long REST_US = 20_000;
     /** Between two looks at what is too old. */
     static final long HOUSEKEEPING_MS = 200;
 
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -91,14 +91,16 @@
     }
 
     Node(NodeConfig config, EventLoop loop) {
-        this(config, loop, actions -> new ServiceQBalancer(config.settings(), config.seed(), actions));
+        this(config, loop, Limits.REST_US,
+                actions -> new ServiceQBalancer(config.settings(), config.seed(), actions));
     }
 
-    Node(NodeConfig config, EventLoop loop, Function<Balancer.Actions, Balancer> module) {
+    Node(NodeConfig config, EventLoop loop, long restUs, Function<Balancer.Actions, Balancer> module) {
         this.config = config;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
-        pool = new ServerPool(loop, sockets, clock, config.settings().connectTimeoutUs, config.connIdleUs());
+        pool = new ServerPool(loop, sockets, clock, config.settings().connectTimeoutUs, config.connIdleUs(),
+                restUs);
         clients = new ClientServer(loop, new RequestReader(config.settings()), sockets,
                 new ClientServer.Handler() {
                     @Override
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -5,8 +5,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -51,6 +54,7 @@
     private final EventLoop loop;
     private final Sockets sockets;
     private final long connIdleUs;
+    private final long restUs;
     private final Clock clock;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
@@ -58,11 +62,14 @@
     /** How much of answers has come that have not ended yet. */
     private int answersBytes;
 
-    ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs) {
+    /** Connections carry nothing for {@code restUs} after an answer. */
+    ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs,
+            long restUs) {
         this.loop = loop;
         this.sockets = sockets;
         this.clock = clock;
         this.connIdleUs = connIdleUs;
+        this.restUs = restUs;
         dialer = new Bootstrap().group(loop).channelFactory(ServerChannel::new)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -79,6 +86,8 @@
     private static final class Upstream {
         final String id;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
+        /** Connections whose last answer is too fresh for another exchange. */
+        final Set<Connection> resting = new LinkedHashSet<>();
         /** Exchanges for which a connection is being opened; they take the first that is free. */
         final ArrayDeque<Exchange> awaiting = new ArrayDeque<>();
         InetSocketAddress endpoint;
@@ -89,6 +98,12 @@
         Upstream(String id) {
             this.id = id;
         }
+
+        List<Connection> unused() {
+            List<Connection> unused = new ArrayList<>(idle);
+            unused.addAll(resting);
+            return unused;
+        }
     }
 
     // ---------------------------------------------------------------- the list
@@ -114,7 +129,7 @@
             upstream.startedAtUs = host.entry().startedAtUs();
             upstream.ready = host.entry().state() == ServerState.READY;
             if (moved || !upstream.ready) {
-                List.copyOf(upstream.idle).stream().filter(c -> !c.isUsable()).forEach(Connection::close);
+                upstream.unused().stream().filter(c -> !c.isUsable()).forEach(Connection::close);
             }
             if (!upstream.ready) {
                 turnAway(upstream);
@@ -127,7 +142,7 @@
         Upstream upstream = upstreams.remove(id);
         if (upstream != null) {
             upstream.ready = false;
-            closeAll(upstream.idle);
+            upstream.unused().forEach(Connection::close);
             turnAway(upstream);
         }
     }
@@ -140,10 +155,6 @@
         }
     }
 
-    private static void closeAll(ArrayDeque<Connection> idle) {
-        new ArrayList<>(idle).forEach(Connection::close);
-    }
-
     // ---------------------------------------------------------------- exchanges
 
     /** Starts an exchange; the connection that carries it tells its end. */
@@ -213,7 +224,7 @@
     void closeIdle(String serverId) {
         Upstream upstream = upstreams.get(serverId);
         if (upstream != null) {
-            closeAll(upstream.idle);
+            upstream.unused().forEach(Connection::close);
         }
     }
 
@@ -309,10 +320,15 @@
         }
 
         void close() {
-            upstream.idle.remove(this);
+            forget();
             channel.close();
         }
 
+        private void forget() {
+            upstream.idle.remove(this);
+            upstream.resting.remove(this);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             try {
@@ -375,11 +391,25 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            // Not before all that came is read: what came behind the answer must not answer the next.
+            // Not before all that came is read, nor for a while: what comes behind the answer must not answer
+            // the next.
             if (answered && exchange == null) {
                 answered = false;
+                rest();
+            }
+        }
+
+        private void rest() {
+            if (restUs == 0) {
                 offer();
+                return;
             }
+            upstream.resting.add(this);
+            loop.schedule(() -> {
+                if (upstream.resting.remove(this)) {
+                    offer();
+                }
+            }, restUs, TimeUnit.MICROSECONDS);
         }
 
         /** The answer cannot be used, nor anything behind it. */
@@ -403,7 +433,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            upstream.idle.remove(this);
+            forget();
             end(written ? Result.RESET : Result.CONNECT_FAILED, NO_BODY);
         }
 
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -169,6 +170,64 @@
         }
     }
 
+    @Test
+    void aSecondAnswerSomeTimeBehindTheFirstDoesNotAnswerTheNext() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (FarServer server = new FarServer((request, peer) -> {
+            if (request.headers().get("x-txn").equals("second")) {
+                awaitQuietly(release);
+            }
+            peer.write(Http.ok(request.headers().get("x-txn")));
+        }); Site site = Site.quiet()) {
+            site.restUs = 3_600_000_000L;
+            site.start(server);
+            assertEquals("first", site.ask(Http.order("first", "4000m")).body());
+            FarServer.Peer first = FarServer.next(server.peers);
+            FarServer.next(server.requests);
+            Socket client = site.connect();
+            Site.write(client, Http.order("second", "20000m"));
+            FarServer.next(server.requests);
+            first.write(Http.ok("stray"));
+            assertEquals(first, FarServer.next(server.ended), "nothing on it can be told apart any more");
+            release.countDown();
+            assertEquals("second", Http.read(client.getInputStream()).body());
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    @Test
+    void aConnectionIsUsedAgainOnceItHasRested() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.restUs = 1;
+            site.start(server);
+            int asked = 0;
+            // A rest may not be over as the next request comes; that none ever were would be a defect.
+            do {
+                assertEquals(200, site.ask(Http.page("/api/p", "t" + asked++, "4000m")).status());
+            } while (server.connections.get() == asked && asked < 1_000);
+            assertTrue(asked < 1_000, "each request had a connection of its own");
+        }
+    }
+
+    @Test
+    void wordOfADrainClosesWhatRests() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.restUs = 3_600_000_000L;
+            site.start(server);
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            assertEquals(200, site.ask(Http.page("t")).status());
+            watch.write(Site.chunk(Site.list(2, false, "s0=" + server.endpoint() + "=Terminating")));
+            assertEquals(FarServer.next(server.peers), FarServer.next(server.ended));
+        }
+    }
+
     @Test
     void anAttemptOutOfTimeIsGivenUpByClosingItsConnection() throws Exception {
         try (FarServer silent = new FarServer((request, peer) -> { });
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -32,6 +32,8 @@
     final EventLoop loop = Node.newLoop();
     int sockets = 256;
     long connIdleUs = 60_000_000;
+    /** Connections are used again at once, so that tests can count them. */
+    long restUs = 0;
     /** The decision module; a test may put a faulty one in its place. */
     Function<Balancer.Actions, Balancer> module;
     Node node;
@@ -99,7 +101,7 @@
     }
 
     Site startKnowing(String known) throws Exception {
-        node = new Node(config(known), loop, module);
+        node = new Node(config(known), loop, restUs, module);
         address = (InetSocketAddress) node.start().sync().getNow();
         return this;
     }
