Let a node that ends answer all that has come, begun to come or been taken before

Found by reading the ways of a SIGTERM; each is forced by a test that fails on the text before, as said: - The hook was set after listening, so a SIGTERM just then ended the process with what it had taken; it is set before the rehearsal now, and a node told to end before it listens never does (test: 20 s without an end). - Leaving closed a connection on which part of a request had been read (ClientServer.leave asked only whether bytes wait unread; test: "EOF connection ended"). The same in making room, where the longest stuck one still goes if there is no other. - With an answer's "Connection: close" what the client had sent ahead was dropped (test: "EOF connection ended"). - What was taken before the signal with more time left than the node was answered by nobody (test: "Read timed out"); it gets a 504 as the time for last answers is over (Node.failHeld).

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -225,7 +225,8 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
-        if (!keepAlive || server.isLeaving()) {
+        // What the client has sent ahead is owed an answer too: the last one ends the connection.
+        if (!keepAlive || server.isLeaving() && waiting.isEmpty() && !reading) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -292,9 +293,14 @@
         return channel.isActive();
     }
 
-    /** Whether all that has come is read. */
+    /** Whether nothing has come since the last whole request. */
     boolean isQuiet() {
-        return channel.isQuiet();
+        return !reading && channel.isQuiet();
+    }
+
+    /** Whether a request has begun to come of which nothing more is there. */
+    boolean isStuck() {
+        return reading && channel.isQuiet();
     }
 
     void close() {
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -109,7 +109,18 @@
                 return true;
             }
         }
-        return closeFirst(idle);
+        return closeFirst(idle) || closeHalfRead();
+    }
+
+    /** As the last resort the oldest that has begun to ask for the first time and does not get on. */
+    private boolean closeHalfRead() {
+        ClientConnection oldest = fresh.isEmpty() ? null : fresh.iterator().next();
+        if (oldest == null || !oldest.isStuck() || !oldest.isOlderThan(Limits.FRESH_MS)) {
+            return false;
+        }
+        fresh.remove(oldest);
+        oldest.close();
+        return true;
     }
 
     /**
@@ -187,6 +198,12 @@
     void drain(long lastRequestUs, Runnable whenDone) {
         draining = true;
         whenEmpty = whenDone;
+        if (listening == null || !listening.isOpen()) {
+            // Told to end before it began to listen: nothing has been taken, and nothing will be.
+            closed = true;
+            whenDone.run();
+            return;
+        }
         loop.schedule(() -> listening.close(), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> listening.close().addListener(done -> leave()), lastRequestUs,
                 TimeUnit.MICROSECONDS);
@@ -196,7 +213,7 @@
         closed = true;
         List<ClientConnection> unused = all();
         unused.removeAll(busy);
-        // What has come is served, and its answer ends the connection.
+        // What has come, or has begun to, is served, and its answer ends the connection.
         unused.removeIf(client -> !client.isQuiet());
         unused.forEach(ClientConnection::close);
         tellIfEmpty();
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -152,12 +152,7 @@
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
         Reload.onHangUp(env, node);
-        Rehearsal.play(config, loop);
-        Future<SocketAddress> listening = node.start().awaitUninterruptibly();
-        if (!listening.isSuccess()) {
-            System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
-            System.exit(2);
-        }
+        // Before it listens: a node that was told to end just then would end with what it has taken.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
             node.drain(Departure.of(config.settings()), empty::countDown);
@@ -167,6 +162,12 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
+        Rehearsal.play(config, loop);
+        Future<SocketAddress> listening = node.start().awaitUninterruptibly();
+        if (!listening.isSuccess()) {
+            System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
+            System.exit(2);
+        }
         Log.line("listening on " + config.listen());
     }
 
@@ -193,6 +194,10 @@
     }
 
     private void listen(Promise<SocketAddress> listening) {
+        if (clients.isDraining()) {
+            listening.setFailure(new IllegalStateException("told to end before"));
+            return;
+        }
         clients.listen(config.listen()).addListener((ChannelFuture opened) -> {
             if (opened.isSuccess()) {
                 listening.setSuccess(opened.channel().localAddress());
@@ -212,9 +217,20 @@
         loop.execute(() -> {
             lastAnswerAtUs = clock.nowUs() + departure.lastAnswerUs();
             clients.drain(departure.lastRequestUs(), whenEmpty);
+            loop.schedule(this::failHeld, departure.lastAnswerUs(), TimeUnit.MICROSECONDS);
         });
     }
 
+    /** The process is about to end: who has asked before that was known, and would wait past it, is told. */
+    private void failHeld() {
+        for (Held left : List.copyOf(held.values())) {
+            if (!left.ended) {
+                answer(left, HttpResponseStatus.GATEWAY_TIMEOUT, NO_BODY, 0);
+                tell(left, () -> balancer.onClientGone(clock.nowUs(), left.id));
+            }
+        }
+    }
+
     /** Lets go of all sockets and timers at once. */
     void close() {
         loop.execute(() -> {
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -216,6 +216,77 @@
         }
     }
 
+    /** A departure under which requests are taken no longer soon, and answers have much time. */
+    private static final Departure SOON = new Departure(600_000, 20_000_000);
+
+    @Test
+    @Timeout(60)
+    void aRequestThatHasBegunToArriveIsServedByANodeThatLeaves() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket half = site.connect();
+            String order = Http.order("t", "5000m");
+            Site.write(half, order.substring(0, order.length() - 1));
+            Socket idle = site.connect();
+            assertEquals(200, Site.ask(idle, Http.page("before")).status());
+            site.node.drain(SOON, () -> { });
+            assertEquals(-1, idle.getInputStream().read(), "the node has left");
+            Site.write(half, order.substring(order.length() - 1));
+            Http.Message answer = Http.read(half.getInputStream());
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.headers().get("connection"));
+            assertEquals(-1, half.getInputStream().read());
+        }
+    }
+
+    @Test
+    @Timeout(60)
+    void whatWasSentAheadIsAnsweredByANodeThatLeaves() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(first, "x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/p", "a", "20000m") + Http.page("/api/p", "b", "20000m"));
+            FarServer.next(server.requests);
+            Socket idle = site.connect();
+            CountDownLatch done = new CountDownLatch(1);
+            site.node.drain(SOON, done::countDown);
+            assertEquals(-1, idle.getInputStream().read(), "the node has left");
+            first.countDown();
+            assertEquals(200, Http.read(client.getInputStream()).status());
+            Http.Message last = Http.read(client.getInputStream());
+            assertEquals(200, last.status());
+            assertEquals("close", last.headers().get("connection"));
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    @Timeout(60)
+    void whatWasTakenBeforeTheEndWasKnownIsAnsweredBeforeItToo() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.order("t", "3600000m"));
+            FarServer.next(server.requests);
+            CountDownLatch done = new CountDownLatch(1);
+            site.node.drain(new Departure(600_000, 700_000), done::countDown);
+            assertEquals(504, Http.read(client.getInputStream()).status());
+            FarServer.next(server.ended);
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    @Timeout(60)
+    void aNodeToldToEndBeforeItListensEndsAndNeverListens() throws Exception {
+        try (Site site = Site.quiet()) {
+            Node node = new Node(site.config(Site.list(1, true)), site.loop, 0, site.module);
+            CountDownLatch done = new CountDownLatch(1);
+            node.drain(SOON, done::countDown);
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+            assertFalse(node.start().await().isSuccess());
+        }
+    }
+
     @Test
     void whatADrainingNodeTakesIsAnsweredBeforeItsEnd() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> { });
