--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -168,7 +168,8 @@
         // Sent ahead of the answer. Reading goes on, as only that shows that the client has left: what it has
         // sent, and what it asked before, would else be sent on for nobody. So what waits is bounded here.
         waitingBytes += next.body.length;
-        if ((waiting.size() > (busy ? 0 : 1) + Limits.MOST_AHEAD || waitingBytes > Limits.MOST_BODY) && !deaf) {
+        boolean tooMany = waiting.size() > (busy ? 0 : 1) + Limits.MOST_AHEAD;
+        if ((tooMany || waitingBytes > Limits.MOST_BODY) && !deaf) {
             waiting.removeLast();
             turnDown(HttpResponseStatus.BAD_REQUEST);
         }
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -87,7 +87,8 @@
 
     @Test
     void aDeferredRequestWhoseClientLeavesAsAPlaceComesFreeIsNotSent() throws Exception {
-        try (FarServer server = new FarServer((request, peer) -> { }); Site site = Site.quiet().start(server)) {
+        try (FarServer server = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(server)) {
             // As many as the module sends to one server at first; the next waits for a place.
             for (int i = 0; i < 4; i++) {
                 Site.write(site.connect(), Http.page("/api/p", "t" + i, "60000m"));
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -265,7 +265,7 @@
 
     @Test
     void withoutTheAgentThatPushesListsANodeServesWithTheListItKnows() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = new Site(new FarServer((r, peer) -> { }))) {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
             site.settings.listOnRequest = false;
             site.discovery.stop();
             site.start(server);
