--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -152,6 +152,7 @@
             if (!over) {
                 end();
                 current = null;
+                Log.line("discovery: " + reason);
                 listener.failed(reason);
             }
         }
--- a/src/main/java/kitemux/node/ListReader.java
+++ b/src/main/java/kitemux/node/ListReader.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
@@ -30,7 +29,7 @@
 
     ListReader() {
         try {
-            parser = new JsonFactory().createNonBlockingByteArrayParser();
+            parser = JSON.getFactory().createNonBlockingByteArrayParser();
         } catch (IOException e) {
             throw new IllegalStateException("no parser", e);
         }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -127,11 +127,11 @@
 
             @Override
             public void failed(String reason) {
-                Log.line("discovery: " + reason);
                 tell(null, () -> balancer.onListFailed(clock.nowUs()));
             }
         };
-        pushed = config.settings().listOnRequest ? null : new PushedLists(loop, config, lists);
+        pushed = config.settings().listOnRequest || config.discovery() == null ? null
+                : new PushedLists(loop, config, lists);
         discovery = new Discovery(loop, config, Patience.of(config.settings()), clock,
                 pushed == null ? lists : pushed);
         balancer = module.apply(this);
@@ -184,7 +184,7 @@
                 pool.closeOld();
                 clients.closeOld();
             }, Limits.HOUSEKEEPING_MS, Limits.HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
-            if (pushed == null || config.discovery() == null) {
+            if (pushed == null) {
                 listen(listening);
             } else {
                 pushed.keepOpen(discovery, () -> listen(listening));
@@ -225,12 +225,17 @@
     private void failHeld() {
         for (Held left : List.copyOf(held.values())) {
             if (!left.ended) {
-                answer(left, HttpResponseStatus.GATEWAY_TIMEOUT, NO_BODY, 0);
-                tell(left, () -> balancer.onClientGone(clock.nowUs(), left.id));
+                abandon(left, HttpResponseStatus.GATEWAY_TIMEOUT);
             }
         }
     }
 
+    /** Answers without the module, which is told that nothing more is owed. */
+    private void abandon(Held request, HttpResponseStatus status) {
+        answer(request, status, NO_BODY, 0);
+        tell(null, () -> balancer.onClientGone(clock.nowUs(), request.id));
+    }
+
     /** Lets go of all sockets and timers at once. */
     void close() {
         loop.execute(() -> {
@@ -275,8 +280,7 @@
             // A defect met by one request must neither end the node nor leave it without an answer.
             Log.error("event", e);
             if (event.about != null && !event.about.ended) {
-                answer(event.about, HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
-                events.add(new Event(null, () -> balancer.onClientGone(clock.nowUs(), event.about.id)));
+                abandon(event.about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
             }
         }
     }
--- a/src/main/java/kitemux/node/Patience.java
+++ b/src/main/java/kitemux/node/Patience.java
@@ -27,7 +27,7 @@
     static Patience of(Settings settings) {
         long call = !settings.listOnRequest ? LEAST_US
                 : Math.max(LEAST_US, Math.min(CALL_US, settings.askWithinUs / 2));
-        return new Patience(SILENCE_US, TOLD_US, Math.min(LEAST_US, call), call);
+        return new Patience(SILENCE_US, TOLD_US, LEAST_US, call);
     }
 
     /**
--- a/src/main/java/kitemux/node/PushedLists.java
+++ b/src/main/java/kitemux/node/PushedLists.java
@@ -59,7 +59,6 @@
 
     @Override
     public void failed(String reason) {
-        Log.line("discovery: " + reason);
         // Jittered, as all watches may end together.
         loop.schedule(this::openAnew, retryUs / 2 + random.nextLong(retryUs / 2), TimeUnit.MICROSECONDS);
         retryUs = Math.min(mostRetryUs, 2 * retryUs);
