--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -1,12 +1,9 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -96,7 +93,7 @@
             }
             Socket leaves = site.connect();
             Site.write(leaves, Http.page("/api/p", "left", "60000m"));
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            site.awaitRead();
             CountDownLatch release = holdUp(site.loop);
             // The answer comes first, so that the loop reads it before the end of the client's connection.
             FarServer.next(server.peers).write(Http.ok("x"));
@@ -111,27 +108,19 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aRequestWhoseClientLeavesWhileItAwaitsAConnectionIsNotSent(boolean cancel) throws Exception {
-        // A listener whose backlog is full: connections to it come up only as it accepts.
-        try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
-                Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
-                Site site = Site.quiet()) {
-            assertTrue(one.isConnected() && two.isConnected());
+        try (HangingListener hanging = new HangingListener(); Site site = Site.quiet()) {
             site.settings.cancel = cancel;
             site.settings.connectTimeoutUs = 20_000_000;
-            site.startKnowing(Site.list(1, true, "s0=127.0.0.1:" + hanging.getLocalPort() + "=Ready"));
+            site.startKnowing(Site.list(1, true, "s0=" + hanging.endpoint() + "=Ready"));
             Socket leaves = site.connect();
             Site.write(leaves, Http.order("left", "60000m"));
-            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            site.awaitRead();
             leaves.close();
             Socket stays = site.connect();
             Site.write(stays, Http.order("stays", "60000m"));
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
-            // Room in the backlog: both connections come up now.
-            hanging.accept();
-            hanging.accept();
+            site.awaitRead();
+            hanging.makeRoom();
             Set<String> sent = new HashSet<>();
-            hanging.setSoTimeout(20_000);
             while (!sent.contains("stays")) {
                 Socket come = hanging.accept();
                 Http.Message request = Http.read(come.getInputStream());
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -100,8 +100,7 @@
     void aBodyOver64KiBGets413AndOneOfJustThatIsServed() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             String order = Http.order("t", "4000m");
-            String largest = order.replace("Length: 2\r\n\r\nab",
-                    "Length: 65536\r\n\r\n" + "a".repeat(65536));
+            String largest = Http.order("t", "4000m", "a".repeat(65_536));
             assertEquals(200, site.ask(largest).status());
             String larger = order.replace("Length: 2\r\n\r\nab", "Length: 65537\r\n\r\n");
             assertEquals(413, site.ask(larger).status());
@@ -113,8 +112,7 @@
     void theAnswerToTooLargeABodyOutlastsWhatStillComes() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Site.write(client, Http.order("t", "4000m").replace("Length: 2\r\n\r\nab",
-                    "Length: 8000000\r\n\r\n" + "a".repeat(8_000_000)));
+            Site.write(client, Http.order("t", "4000m", "a".repeat(8_000_000)));
             assertEquals(413, Http.read(client.getInputStream()).status());
             assertEquals(-1, client.getInputStream().read());
             assertEquals(0, server.connections.get());
@@ -144,7 +142,7 @@
             Site.write(client, Http.page("/api/x", "open", "3600000m"));
             FarServer.next(server.requests);
             Site.write(client, Http.page("/api/x", "ahead", "5000m"));
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            site.awaitRead();
             client.close();
             // The open one is given up at once, and the one behind it is never sent.
             FarServer.next(server.ended);
@@ -161,10 +159,9 @@
             Site.write(client, Http.page("/api/x", "open", "5000m"));
             FarServer.next(server.requests);
             for (String txn : new String[] {"a", "b"}) {
-                Site.write(client, Http.order(txn, "5000m").replace("Length: 2\r\n\r\nab",
-                        "Length: 40000\r\n\r\n" + "a".repeat(40_000)));
+                Site.write(client, Http.order(txn, "5000m", "a".repeat(40_000)));
             }
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            site.awaitRead();
             answer.countDown();
             for (int status : new int[] {200, 200, 400}) {
                 assertEquals(status, Http.read(client.getInputStream()).status());
@@ -351,7 +348,7 @@
                 Site.write(client, Http.page("/api/p", "t" + i, "5000m"));
                 clients.add(client);
             }
-            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            site.awaitRead();
             answer.countDown();
             for (Socket client : clients) {
                 Http.read(client.getInputStream());
@@ -451,7 +448,7 @@
             FarServer.next(server.requests);
             Site.write(client, Http.order("u", "4000m").replace("Length: 2", "Length: 90000"));
             // Once a later one has its answer, the node has read this far.
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            site.awaitRead();
             answer.countDown();
             assertEquals(200, Http.read(client.getInputStream()).status());
             assertEquals(413, Http.read(client.getInputStream()).status());
@@ -486,7 +483,7 @@
             Site.write(client, many.toString());
             // All of it is read before the first is answered.
             FarServer.next(server.requests);
-            assertEquals(404, site.ask(Http.page("/nothing", "v", "1m")).status());
+            site.awaitRead();
             first.countDown();
             int served = 0;
             Http.Message answer = Http.read(client.getInputStream());
--- a/src/test/java/kitemux/node/FarServer.java
+++ b/src/test/java/kitemux/node/FarServer.java
@@ -57,15 +57,20 @@
     /** Answers from when the latch opens. */
     static FarServer servingFrom(CountDownLatch start, String body) throws IOException {
         return new FarServer((request, peer) -> {
-            try {
-                start.await();
-            } catch (InterruptedException e) {
-                throw new IOException(e);
-            }
+            await(start);
             peer.write(Http.ok(body));
         });
     }
 
+    /** For scripts that hold an answer back. */
+    static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     String endpoint() {
         return "127.0.0.1:" + listening.getLocalPort();
     }
--- a/src/test/java/kitemux/node/Http.java
+++ b/src/test/java/kitemux/node/Http.java
@@ -70,8 +70,12 @@
     }
 
     static String order(String txn, String remaining) {
+        return order(txn, remaining, "ab");
+    }
+
+    static String order(String txn, String remaining, String body) {
         return "POST /api/order HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + txn
                 + "\r\nX-Lane: order\r\nX-Org: org\r\nX-Remaining: " + remaining
-                + "\r\nContent-Length: 2\r\n\r\nab";
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 }
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -175,7 +175,7 @@
         CountDownLatch release = new CountDownLatch(1);
         try (FarServer server = new FarServer((request, peer) -> {
             if (request.headers().get("x-txn").equals("second")) {
-                awaitQuietly(release);
+                FarServer.await(release);
             }
             peer.write(Http.ok(request.headers().get("x-txn")));
         }); Site site = Site.quiet()) {
@@ -194,14 +194,6 @@
         }
     }
 
-    private static void awaitQuietly(CountDownLatch latch) throws IOException {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            throw new IOException(e);
-        }
-    }
-
     @Test
     void aConnectionIsUsedAgainOnceItHasRested() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
@@ -254,19 +246,15 @@
 
     @Test
     void wordOfADrainFreesWhatAwaitsAConnection() throws Exception {
-        // A listener whose backlog is full: connections to it never come up.
-        try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
-                Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
-                FarServer good = FarServer.serving("x"); Site site = Site.quiet()) {
-            assertTrue(one.isConnected() && two.isConnected());
-            String hangs = "s0=127.0.0.1:" + hanging.getLocalPort();
+        try (HangingListener hanging = new HangingListener(); FarServer good = FarServer.serving("x");
+                Site site = Site.quiet()) {
+            String hangs = "s0=" + hanging.endpoint();
             site.startKnowing(Site.list(1, true, hangs + "=Ready"));
             FarServer.Peer watch = FarServer.next(site.discovery.peers);
             Socket client = site.connect();
             Site.write(client, Http.order("t", "5000m"));
             // Once the answer to a later request is there, the order has been taken up and awaits its turn.
-            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            site.awaitRead();
             watch.write(Site.chunk(Site.list(2, false, hangs + "=Terminating",
                     "s1=" + good.endpoint() + "=Ready") + "\n"));
             assertEquals(200, Http.read(client.getInputStream()).status());
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -1,5 +1,6 @@
 package kitemux.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
@@ -137,6 +138,11 @@
         return ask(connect(), request);
     }
 
+    /** Returns once the node has read what came before: a later request has its answer. */
+    void awaitRead() throws IOException {
+        assertEquals(404, ask(Http.page("/nothing", "later", "1m")).status());
+    }
+
     @Override
     public void close() throws IOException {
         for (Socket client : clients) {
