Remove probes, which nothing asks for, from module, node and adapter

The module asked for no probe and decided nothing on one; the node's own class for them was never reached. Their settings are no longer read; LinkTest names another flag that is malformed.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -35,9 +35,6 @@
     /** The client has left; nothing more is owed. Ids that are not held are passed over. */
     void onClientGone(long nowUs, long requestId);
 
-    /** How a probe ended; {@code report} as in {@link Outcome}. */
-    void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report);
-
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
@@ -58,9 +55,6 @@
         /** Call {@link #onWake} at this time or soon after. The module keeps one wake-up pending at most. */
         void wakeAt(long atUs);
 
-        /** Check a server. */
-        void probe(String serverId);
-
         /** Close this node's idle connections to a server. */
         void closeIdle(String serverId);
 
@@ -110,7 +104,7 @@
     record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
             String key) { }
 
-    /** How an attempt or a probe ended. */
+    /** How an attempt ended. */
     enum Result {
         /** Served. */
         OK(false),
@@ -214,8 +208,6 @@
         public boolean secondCopies;
         /** Whether attempts may be cancelled. */
         public boolean cancel;
-        /** Whether servers may be probed. */
-        public boolean probes;
         /** Longest advice to a client on when to come back; 0 means none may be given. */
         public long maxRetryAfterUs;
         /** Events come at most this often. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -620,12 +620,6 @@
         }
     }
 
-    /** Nothing is decided on probes; none is ever asked for. */
-    @Override
-    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {
-        now = nowUs;
-    }
-
     @Override
     public void onWake(long nowUs) {
         now = nowUs;
--- a/src/main/java/kitemux/adapter/BootInfo.java
+++ b/src/main/java/kitemux/adapter/BootInfo.java
@@ -76,7 +76,6 @@
         set.maxAttempts = (int) whole("limits.attemptsCap", set.maxAttempts);
         set.secondCopies = flag("limits.parallelTries");
         set.cancel = flag("limits.cancelling");
-        set.probes = flag("limits.probes");
         set.maxRetryAfterUs = flag("limits.retryAfter") ? whole("limits.maxRetryAfterUs", 0) : 0;
         set.tickUs = whole("quantumUs", set.tickUs);
         set.connectTimeoutUs = whole("limits.dialTimeoutUs", set.connectTimeoutUs);
--- a/src/main/java/kitemux/adapter/Link.java
+++ b/src/main/java/kitemux/adapter/Link.java
@@ -128,14 +128,8 @@
             int attempt = (int) line.whole("seqNo");
             return () -> balancer.onFirstByte(at, id, attempt);
         }
-        if (line.is("echo")) {
-            String server = line.text("server");
-            Result result = result();
-            long latency = line.whole("latencyUs", 0);
-            double[] report = line.row("metrics");
-            return () -> balancer.onProbe(at, server, result, latency, report);
-        }
-        if (line.is("memo")) {
+        // The module neither probes nor sends messages to peers.
+        if (line.is("echo") || line.is("memo")) {
             return () -> { };
         }
         throw line.bad("unknown event " + line.name());
--- a/src/main/java/kitemux/adapter/Reply.java
+++ b/src/main/java/kitemux/adapter/Reply.java
@@ -78,18 +78,9 @@
         close();
     }
 
-    @Override
-    public void probe(String serverId) {
-        aboutServer("sound_out", serverId);
-    }
-
     @Override
     public void closeIdle(String serverId) {
-        aboutServer("drop_conns", serverId);
-    }
-
-    private void aboutServer(String action, String serverId) {
-        open(action);
+        open("drop_conns");
         text(" server=");
         text(serverId);
         close();
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -44,7 +44,6 @@
     static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
 
     private static final byte[] NO_BODY = {};
-    private static final long PROBE_US = 1_000_000;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -471,50 +470,6 @@
         }, Math.max(0, wakeAtUs - clock.nowUs()), TimeUnit.MICROSECONDS);
     }
 
-    @Override
-    public void probe(String serverId) {
-        new Probe(serverId).begin();
-    }
-
-    /** A check of one server. */
-    private final class Probe implements ServerPool.Exchange {
-        private final String serverId;
-        private final long sentAtUs = clock.nowUs();
-        private Future<?> expiry;
-
-        Probe(String serverId) {
-            this.serverId = serverId;
-        }
-
-        void begin() {
-            expiry = loop.schedule(() -> {
-                pool.giveUp(serverId, this);
-                ended(Result.TIMEOUT, NO_BODY);
-            }, PROBE_US, TimeUnit.MICROSECONDS);
-            pool.start(serverId, this);
-        }
-
-        @Override
-        public boolean isWanted() {
-            return true;
-        }
-
-        @Override
-        public FullHttpRequest message() {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/alive", Unpooled.EMPTY_BUFFER);
-            message.headers().set(HttpHeaderNames.HOST, "backend.local");
-            return message;
-        }
-
-        @Override
-        public void ended(Result result, byte[] body) {
-            expiry.cancel(false);
-            tell(null, () -> balancer.onProbe(clock.nowUs(), serverId, result,
-                    clock.nowUs() - sentAtUs, null));
-        }
-    }
-
     @Override
     public void closeIdle(String serverId) {
         pool.closeIdle(serverId);
--- a/src/test/java/kitemux/ExampleTest.java
+++ b/src/test/java/kitemux/ExampleTest.java
@@ -37,9 +37,6 @@
         @Override
         public void wakeAt(long atUs) { }
 
-        @Override
-        public void probe(String serverId) { }
-
         @Override
         public void closeIdle(String serverId) { }
 
--- a/src/test/java/kitemux/Node.java
+++ b/src/test/java/kitemux/Node.java
@@ -34,7 +34,6 @@
     final List<String> cancelled = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
     final List<String> closed = new ArrayList<>();
-    final List<String> probed = new ArrayList<>();
     int subscriptions;
     long now = 1_000_000;
     private final List<Long> wakes = new ArrayList<>();
@@ -187,11 +186,6 @@
         closed.add(serverId);
     }
 
-    @Override
-    public void probe(String serverId) {
-        probed.add(serverId);
-    }
-
     @Override
     public void subscribe() {
         subscriptions++;
--- a/src/test/java/kitemux/RandomEventsTest.java
+++ b/src/test/java/kitemux/RandomEventsTest.java
@@ -171,11 +171,6 @@
         public void closeIdle(String serverId) {
         }
 
-        @Override
-        public void probe(String serverId) {
-            assertTrue(set.probes);
-        }
-
         @Override
         public void subscribe() {
             assertTrue(set.listOnRequest);
--- a/src/test/java/kitemux/adapter/LinkTest.java
+++ b/src/test/java/kitemux/adapter/LinkTest.java
@@ -73,7 +73,7 @@
         "B;roster setId=0 nodesList=2;server server=a lifecycle=Running;eob | roster",
         "B;roster setId=0 nodesList=1;server server=a lifecycle=Odd;eob | lifecycle",
         "begin_batch timeUs=1;boot node=n initSeed=1 classes.count=1;eob | classes.0.",
-        "B;boot node=n initSeed=1 limits.probes=maybe;eob | limits.probes",
+        "B;boot node=n initSeed=1 limits.cancelling=maybe;eob | limits.cancelling",
         "B;boot node=n initSeed=1 rules.coldFrom=NaN;eob | rules.coldFrom",
         "B;boot node=n initSeed=1 costs.crossZone=Infinity;eob | costs.crossZone",
         "B;roster setId=0 nodesList=1;server server=a lifecycle=Running;topology node=node-3 setId=0;eob"
