Wait 2 s at most for a call to discovery that hangs, so that another fits into the 6 s

Patience gave each call that followed a silence of 6 s or more 4 s of its own. One that hangs as discovery comes back, the wait for the next and that one's answer took up to 4 + 1.5 + 2 s; a change counts as told after 6 s. Found by reading. The test adds up two calls and the longest wait and failed before (9.5 s); it and the one beside it look at lists that are asked for now, as those that are pushed never had more than 1 s.

--- a/src/main/java/kitemux/node/Patience.java
+++ b/src/main/java/kitemux/node/Patience.java
@@ -20,8 +20,9 @@
     private static final long TOLD_US = 6_000_000;
     /** An answer takes some tens of milliseconds where discovery is not crowded. */
     private static final long LEAST_US = 1_000_000;
-    /** Discovery ends calls itself that have to wait for too long: this is for one that is silent. */
-    private static final long CALL_US = 4_000_000;
+    /** A third of {@link #TOLD_US}: a call that hangs as discovery comes back, the module's longest wait of
+     * 1.5 s and one more call fit into it. */
+    private static final long CALL_US = 2_000_000;
 
     /** Two calls fit into the time that the settings give for asking, where that is how lists are had. */
     static Patience of(Settings settings) {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -195,9 +195,22 @@
         assertEquals(USUAL.callUs(), USUAL.firstWordUs(0, Patience.NEVER));
     }
 
+    @Test
+    void aCallThatHangsAndOneMoreFitIntoTheTimeInWhichAChangeCountsAsToldHoweverLateTheyAre() {
+        Settings asked = new Settings();
+        asked.listOnRequest = true;
+        Patience patience = Patience.of(asked);
+        long longestWaitUs = 1_500_000;
+        for (long silentForUs : new long[] {6_000_000, 20_000_000, 3_600_000_000L}) {
+            long callUs = patience.firstWordUs(silentForUs, 0);
+            assertTrue(2 * callUs + longestWaitUs < patience.toldUs(), "after " + silentForUs);
+        }
+    }
+
     @Test
     void callsFitIntoWhatTheSettingsGiveForAsking() {
         Settings hurried = new Settings();
+        hurried.listOnRequest = true;
         hurried.askWithinUs = 3_000_000;
         Patience patience = Patience.of(hurried);
         assertTrue(2 * patience.firstWordUs(0, Patience.NEVER) <= hurried.askWithinUs);
