--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -65,9 +67,16 @@
 
     /** A node as a process, which is told of discovery by the environment as well. */
     private static Process program(Path config, String discovery) throws Exception {
-        String java = ProcessHandle.current().info().command().orElseThrow();
-        ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        return program(config, discovery, List.of());
+    }
+
+    /** The same, started by the command that stands before it. */
+    private static Process program(Path config, String discovery, List<String> starter) throws Exception {
+        List<String> command = new ArrayList<>(starter);
+        command.addAll(List.of(ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "node"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_DISCOVERY", discovery);
         return builder.redirectErrorStream(true).start();
@@ -85,6 +94,31 @@
         new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     }
 
+    /** What {@code run} of the deploy file does before it becomes the JVM, under a shell that ignores SIGHUP. */
+    private static List<String> runWhereHangUpIsIgnored() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String beforeJava = run.substring(run.indexOf('"') + 1, run.indexOf("java "));
+        return List.of("/bin/sh", "-c", "trap '' HUP; " + beforeJava + "\"$0\" \"$@\"");
+    }
+
+    @Test
+    void sighupIsHeardAlsoWhereTheNodeWasStartedWithItIgnored(@TempDir Path folder) throws Exception {
+        FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
+        try (FarServer before = new FarServer(watch); FarServer after = new FarServer(watch)) {
+            Path config = configure(folder, before.endpoint());
+            Process process = program(config, before.endpoint(), runWhereHangUpIsIgnored());
+            try {
+                FarServer.next(before.requests);
+                configure(folder, after.endpoint());
+                hangUp(process);
+                FarServer.next(after.requests);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
         Process process = program(configure(folder, "127.0.0.1:9"), "127.0.0.1:9");
