Answer before the client's time is up, not some milliseconds behind it

Ruled out: closes over requests that were taken, requests forgotten by node or module (each take had its end). At fault: RequestReader.WAY_US left 1 ms for the answer. 5% of the time left is kept for it now, 50 ms at most, which is what the protocol allows for real sockets, and 1 ms at least. The tests failed before.

--- a/src/main/java/kitemux/node/ClientRequest.java
+++ b/src/main/java/kitemux/node/ClientRequest.java
@@ -11,7 +11,7 @@
  * @param idempotencyKey or null
  * @param classIndex its class by the settings
  * @param tenant by the settings, or -1
- * @param leftUs how long the client waits from now on
+ * @param leftUs how long from now on there is to answer in
  * @param workUs a guess at the work, or 0
  * @param retry whether the client marks it as a repeat
  * @param key what it is about, or null
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -17,8 +17,12 @@
 /** Reads a client's request by the protocol; what does not keep to it is turned down here. */
 final class RequestReader {
     private static final String PREFIX = "/api/";
-    /** The way from the client, by which its time is shorter than it says. */
-    private static final long WAY_US = 1_000;
+    /** Of the time that a client waits, what is kept for its answer to be written and to come: as much as the
+     * protocol allows for real sockets, but a small part where little time is left. A request that was given
+     * until the last moment had its time-out answered some milliseconds behind it. */
+    private static final double PART_FOR_ANSWER = 0.05;
+    private static final long LEAST_FOR_ANSWER_US = 1_000;
+    private static final long MOST_FOR_ANSWER_US = 50_000;
     private static final double MOST_LEFT_US = 3.6e9;
     /** Compiled once: String.matches would do it for two figures of every request. */
     private static final Pattern FIGURE = Pattern.compile("[0-9.]{1,20}");
@@ -96,14 +100,15 @@
         return values.isEmpty() ? null : values.get(0);
     }
 
-    /** Time left by X-Remaining, a number and a unit. */
+    /** Time left to answer in, by X-Remaining, a number and a unit. */
     static long left(String text) throws BadRequestException {
         double unit = text.endsWith("m") ? 1_000 : text.endsWith("u") ? 1 : 0;
         double us = unit * number(text.substring(0, text.length() - 1), "X-Remaining");
         if (unit == 0 || us > MOST_LEFT_US) {
             throw new BadRequestException("X-Remaining cannot be read");
         }
-        return Math.max(0, (long) us - WAY_US);
+        double forAnswer = Math.max(LEAST_FOR_ANSWER_US, Math.min(MOST_FOR_ANSWER_US, PART_FOR_ANSWER * us));
+        return Math.max(0, (long) (us - forAnswer));
     }
 
     private static long work(String text) throws BadRequestException {
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What clients see of a node. */
@@ -40,6 +41,22 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"0m, 0", "1m, 0", "5m, 4000", "60m, 57000", "400m, 380000", "1000m, 950000",
+        "3000m, 2950000", "3000000u, 2950000"})
+    void theTimeToAnswerInEndsBeforeTheClients(String remaining, long leftUs) throws Exception {
+        assertEquals(leftUs, RequestReader.left(remaining));
+    }
+
+    @Test
+    void anAttemptEndsAndItsServerIsToldSoBeforeTheClientsTimeIsUp() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            assertEquals(200, site.ask(Http.page("/api/p", "t", "3000m")).status());
+            String sent = FarServer.next(server.requests).headers().get("x-remaining");
+            assertTrue(Long.parseLong(sent.replace("u", "")) <= 2_950_000, "told the server " + sent);
+        }
+    }
+
     @Test
     void aConnectionCarriesOneRequestAfterAnother() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
