Read a client's socket once more as an attempt for it begins, so that none is sent for who left

The module is told of all that has come in one turn; who left during that turn, while others were sent, was only seen in the next (Attempt.isWanted asked for what had been read). In a node that has fallen behind, turns take 100 ms and more. Each attempt, first or further, now reads its client's socket first: one call that finds nothing, usually. What has come is read in its order, so nothing else changes. The test closes a client from inside the module's event for another and failed before.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -289,8 +289,9 @@
         }
     }
 
-    /** Whether the client is there, as far as is read. */
-    boolean isOpen() {
+    /** Whether the client is there now: its leaving may have come while others had their turn. */
+    boolean isPresent() {
+        channel.readNow();
         return channel.isActive();
     }
 
--- a/src/main/java/kitemux/node/ClientListener.java
+++ b/src/main/java/kitemux/node/ClientListener.java
@@ -28,6 +28,13 @@
             super(listener, socket);
         }
 
+        /** Reads all that has come, the end of the connection too. Not for use inside a read of this socket. */
+        void readNow() {
+            if (isActive()) {
+                unsafe().read();
+            }
+        }
+
         /** Whether all that has come is read; nothing is taken from the socket. */
         boolean isQuiet() {
             try {
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -345,7 +345,7 @@
         /** Not if it is answered or its client has left, be the module to hear of that or not. */
         @Override
         public boolean isWanted() {
-            return !of.ended && of.client.isOpen();
+            return !of.ended && of.client.isPresent();
         }
 
         void begin() {
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -82,6 +82,42 @@
         }
     }
 
+    @Test
+    void aRequestWhoseClientLeavesWhileTheModuleIsToldOfOthersIsNotSent() throws Exception {
+        AtomicReference<Socket> leavesNow = new AtomicReference<>();
+        CountDownLatch both = new CountDownLatch(2);
+        try (FarServer server = new FarServer((request, peer) -> {
+                both.countDown();
+                FarServer.await(both);
+                peer.write(Http.ok("x"));
+            }); Site site = Site.quiet()) {
+            site.module = actions -> after(new ServiceQBalancer(site.settings, 7, actions), () -> {
+                Socket client = leavesNow.getAndSet(null);
+                if (client != null) {
+                    client.close();
+                }
+                return null;
+            });
+            site.start(server);
+            // A connection to the server for each: nothing has to wait for a dial, in which its end is read.
+            Socket stays = site.connect();
+            Site.write(stays, Http.page("before"));
+            Socket leaves = site.connect();
+            assertEquals(200, Site.ask(leaves, Http.page("before too")).status());
+            assertEquals(200, Http.read(stays.getInputStream()).status());
+            server.requests.clear();
+            CountDownLatch release = holdUp(site.loop);
+            Site.write(stays, Http.page("stays"));
+            Site.write(leaves, Http.page("left"));
+            leavesNow.set(leaves);
+            release.countDown();
+            assertEquals(200, Http.read(stays.getInputStream()).status());
+            assertEquals(200, site.ask(Http.page("after")).status());
+            assertEquals("stays", FarServer.next(server.requests).headers().get("x-txn"));
+            assertEquals("after", FarServer.next(server.requests).headers().get("x-txn"));
+        }
+    }
+
     @Test
     void aDeferredRequestWhoseClientLeavesAsAPlaceComesFreeIsNotSent() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> { });
