Read what has come before an answer of a node that leaves is made its connection's last

A node that leaves ended a connection with the answer to the last request that it had read. A request whose bytes had come and were still unread, as in a loop that has fallen behind, was taken and never answered, and the close over unread bytes could break off the answer before it. At fault: ClientConnection.answer asked only for what had been read. Found by reading; clients send on every open connection up to SIGKILL, some of them many requests at once. The test holds the loop, lets the answer and then the next request come, and failed three times of three before.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -226,7 +226,10 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
-        // What the client has sent ahead is owed an answer too: the last one ends the connection.
+        if (server.isLeaving()) {
+            channel.readNow();
+        }
+        // What the client has sent meanwhile is owed an answer too: the last one ends the connection.
         if (!keepAlive || server.isLeaving() && waiting.isEmpty() && !reading) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -168,6 +168,31 @@
         }
     }
 
+    @Test
+    void whatHasComeUnreadBehindARequestIsServedByANodeThatLeaves() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("first"));
+            FarServer.next(server.requests);
+            Socket idle = site.connect();
+            site.node.drain(new Departure(600_000, 20_000_000), () -> { });
+            assertEquals(-1, idle.getInputStream().read(), "the node has left");
+            CountDownLatch release = holdUp(site.loop);
+            // The answer comes first, so that it is given before the second request is read in its turn.
+            FarServer.next(server.peers).write(Http.ok("x"));
+            Site.write(client, Http.page("second"));
+            release.countDown();
+            assertEquals(200, Http.read(client.getInputStream()).status());
+            assertEquals("second", FarServer.next(server.requests).headers().get("x-txn"));
+            FarServer.next(server.peers).write(Http.ok("x"));
+            Http.Message last = Http.read(client.getInputStream());
+            assertEquals(200, last.status());
+            assertEquals("close", last.headers().get("connection"));
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
     @Test
     void allWhoCameMeanwhileAreTakenTogether() throws Exception {
         AtomicInteger turns = new AtomicInteger();
