Linger for a second behind the last answer on a connection, not only behind an error

Where an answer ended a connection (the client's wish, or a node that leaves) it was closed in the next turn of the loop. Bytes that came in that moment made the close a reset, by which an answer that is still under way can be lost. ClientConnection.answered lingered only behind what was turned down; now behind every last answer: what comes is dropped, and the connection closes with the client's close, or after a second, or where room is needed. Found by reading. The test writes on behind the last answer and met a broken pipe before.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -49,7 +49,6 @@
     /** From a request's turn until its answer is written. */
     private boolean busy;
     private boolean keepAlive = true;
-    private long lingerMs;
     /** When the client's part began: to ask, to go on asking, or to take its answer. */
     private long sinceNanos = System.nanoTime();
     private boolean everAsked;
@@ -210,7 +209,6 @@
     /** Answers a client's error and ends the connection: who errs once does so again, at a cost each time. */
     private void refuse(HttpResponseStatus error, byte[] reason) {
         keepAlive = false;
-        lingerMs = Limits.LINGER_MS;
         waiting.clear();
         deaf = true;
         answer(error, reason, 0);
@@ -247,8 +245,10 @@
         if (!written) {
             close();
         } else if (!keepAlive) {
+            // Closed over bytes that come now it would be reset, and the answer with it where it is under way.
+            deaf = true;
             channel.shutdownOutput();
-            channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(this::close, Limits.LINGER_MS, TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
         }
--- a/src/main/java/kitemux/node/Limits.java
+++ b/src/main/java/kitemux/node/Limits.java
@@ -24,7 +24,8 @@
     static final long IDLE_MS = 5_000;
     /** For a client to take its answer: one that never reads would keep it, and the connection, for good. */
     static final long WRITING_MS = 5_000;
-    /** For the rest of what was turned down to come: closing on it at once would break the answer off. */
+    /** For a client to close behind the last answer: closing at once over what it still sends would break that
+     * answer off. */
     static final long LINGER_MS = 1_000;
     /** In which a new connection is not closed to make room: its request may be on its way. */
     static final long FRESH_MS = 100;
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -301,6 +301,23 @@
         }
     }
 
+    @Test
+    void whatComesBehindTheLastAnswerDoesNotResetItsConnection() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Http.Message last = Site.ask(client, Http.page("t").replace("X-Org", "Connection: close\r\nX-Org"));
+            assertEquals(200, last.status());
+            assertEquals(-1, client.getInputStream().read());
+            // Had the node closed, the first of these would be met by a reset and the next would fail.
+            for (String txn : new String[] {"u", "v"}) {
+                site.awaitRead();
+                Site.write(client, Http.page(txn));
+            }
+            site.awaitRead();
+            assertEquals(1, server.requests.size(), "and none of it is served");
+        }
+    }
+
     @Test
     void whatADrainingNodeTakesIsAnsweredBeforeItsEnd() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> { });
