Take over Netty's warnings, so that one told without a descriptor does not end the loop

Symptom: a node started with 80 descriptors, told of 256, and 100 idle clients: it took nothing any more, for good, with the process alive. Its output: 'Exception in thread multiThreadIoEventLoopGroup-2-1 java.lang.NoClassDefFoundError: Could not initialize class java.time.zone.ZoneRulesProvider', from SimpleFormatter.format below JdkLogger.warn. Cause: Netty warns through the JDK's logging, whose handler loads time-zone rules from a file as it writes its first line. Without a descriptor that is an Error, which ended the event loop from inside its own handling of errors. Warnings are lines of the node's own bounded log now. The test starts such a node and failed before.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -148,6 +148,7 @@
             System.exit(2);
             return;
         }
+        Log.takeOverWarnings();
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
         Reload.onHangUp(env, node);
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -7,14 +7,20 @@
 import java.io.BufferedReader;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -57,11 +63,15 @@
     }
 
     private static Path configure(Path folder, String discovery) throws Exception {
+        return configure(folder, "127.0.0.1:0", discovery);
+    }
+
+    private static Path configure(Path folder, String listen, String discovery) throws Exception {
         Path next = Files.writeString(folder.resolve("next.json"), """
-                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"settings":
+                {"listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":256},"settings":
                  {"membershipMode":"on_request","limits":{"attemptsCap":1},
                   "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
-                """.formatted(discovery));
+                """.formatted(listen, discovery));
         return Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -119,6 +129,47 @@
         }
     }
 
+    @Test
+    @Timeout(60)
+    void aNodeWhoseDescriptorsRanOutFindsDiscoveryAndServersOnceThereAreSome(@TempDir Path folder)
+            throws Exception {
+        AtomicBoolean up = new AtomicBoolean();
+        List<Socket> clients = new ArrayList<>();
+        String listen;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            listen = "127.0.0.1:" + free.getLocalPort();
+        }
+        try (FarServer server = FarServer.serving("x");
+                FarServer discovery = new FarServer((request, peer) -> peer.write(
+                        !up.get() ? Http.answer("503 Down", "", "") : Site.watchHead() + Site.chunk(
+                                Site.list(2, true, "s0=" + server.endpoint() + "=Ready") + "\n")))) {
+            // Fewer than it has been told of: else it would not let clients have them all.
+            Process process = program(configure(folder, listen, discovery.endpoint()), discovery.endpoint(),
+                    List.of("/bin/sh", "-c", "ulimit -n 80; exec \"$0\" \"$@\""));
+            try {
+                BufferedReader lines = process.inputReader();
+                awaitLine(lines, "listening on ");
+                InetSocketAddress address = NodeConfig.address("listen", listen);
+                for (int i = 0; i < 100; i++) {
+                    clients.add(new Socket(address.getAddress(), address.getPort()));
+                }
+                awaitLine(lines, "Too many open files");
+                for (Socket client : clients) {
+                    client.close();
+                }
+                up.set(true);
+                Http.Message answer;
+                do {
+                    try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+                        answer = Site.ask(client, Http.page("/api/p", "t", "500m"));
+                    }
+                } while (answer.status() != 200);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
         Process process = program(configure(folder, "127.0.0.1:9"), "127.0.0.1:9");
