Ask discovery again after a call for which no socket could be had

Cause: without a descriptor Netty gives a channel that belongs to no loop, tells of the failure on another thread and cannot close it. Watch.end threw before it told of the failure, and so did each later call, as it ends the watch before it; what it told would have come on that other thread. The failure is told on the loop now, and what was never registered is not closed. The test waits for that failure and failed before, as no line told of it.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -88,17 +88,20 @@
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
         watch.expectWithin(patience.firstWordUs(clock.nowUs(), heardAtUs));
-        opening.addListener(done -> {
-            if (!done.isSuccess()) {
-                watch.broken("no connection: " + done.cause().getMessage());
-                return;
-            }
-            watch.channel.pipeline().addLast(watch);
-            FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/discovery/hosts?watch=1" + (revIsOfHere ? "&after=" + rev : ""));
-            ask.headers().set(HttpHeaderNames.HOST, "discovery");
-            watch.channel.writeAndFlush(ask);
-        });
+        // Where no socket could be had it is another thread that tells of it.
+        opening.addListener(done -> loop.execute(() -> dialed(watch, opening)));
+    }
+
+    private void dialed(Watch watch, ChannelFuture opening) {
+        if (!opening.isSuccess()) {
+            watch.broken("no connection: " + opening.cause().getMessage());
+            return;
+        }
+        watch.channel.pipeline().addLast(watch);
+        FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/discovery/hosts?watch=1" + (revIsOfHere ? "&after=" + rev : ""));
+        ask.headers().set(HttpHeaderNames.HOST, "discovery");
+        watch.channel.writeAndFlush(ask);
     }
 
     /** Whether a watch is open or being opened. */
@@ -145,7 +148,9 @@
         void end() {
             over = true;
             silence.cancel(false);
-            channel.close();
+            if (channel.isRegistered()) {
+                channel.close();
+            }
         }
 
         private void broken(String reason) {
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -14,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -92,12 +94,14 @@
         return builder.redirectErrorStream(true).start();
     }
 
-    private static void awaitLine(BufferedReader lines, String part) throws Exception {
-        String line = lines.readLine();
-        while (line != null && !line.contains(part)) {
-            line = lines.readLine();
-        }
-        assertNotNull(line, "no line says " + part);
+    private static void awaitLine(BufferedReader lines, String part) {
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            String line = lines.readLine();
+            while (line != null && !line.contains(part)) {
+                line = lines.readLine();
+            }
+            assertNotNull(line, "no line says " + part);
+        });
     }
 
     private static void hangUp(Process process) throws Exception {
@@ -154,6 +158,7 @@
                     clients.add(new Socket(address.getAddress(), address.getPort()));
                 }
                 awaitLine(lines, "Too many open files");
+                awaitLine(lines, "discovery: no connection: Unable to create Channel");
                 for (Socket client : clients) {
                     client.close();
                 }
