Count a dial that had no descriptor as over, so that servers are dialled again later

ServerPool counted a dial as open until its channel closed. Where there is no descriptor for a channel Netty gives one that is never closed: after some hundred such dials the node believed to have no room for connections to servers, and turned all requests away for good. A dial that fails is counted as over now as its failure is told, one that succeeds as its channel closes. The test of the whole node asks 200 requests without descriptors, too.

--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -14,6 +14,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -65,12 +66,18 @@
     /** Connections carry nothing for {@code restUs} after an answer. */
     ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs,
             long restUs) {
+        this(loop, sockets, clock, connectTimeoutUs, connIdleUs, restUs, ServerChannel::new);
+    }
+
+    /** The factory throws where there is no descriptor for another channel. */
+    ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs,
+            long restUs, ChannelFactory<ServerChannel> channels) {
         this.loop = loop;
         this.sockets = sockets;
         this.clock = clock;
         this.connIdleUs = connIdleUs;
         this.restUs = restUs;
-        dialer = new Bootstrap().group(loop).channelFactory(ServerChannel::new)
+        dialer = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
@@ -202,7 +209,6 @@
         sockets.opened();
         InetSocketAddress to = upstream.endpoint;
         ChannelFuture opening = dialer.connect(to);
-        opening.channel().closeFuture().addListener(closed -> sockets.closed());
         // Also a dial that fails on the spot is heard of from the loop, never from inside this call.
         opening.addListener(done -> loop.execute(() -> dialed(upstream, to, opening)));
     }
@@ -210,10 +216,15 @@
     private void dialed(Upstream upstream, InetSocketAddress to, ChannelFuture opening) {
         upstream.dialing--;
         if (opening.isSuccess()) {
+            opening.channel().closeFuture().addListener(closed -> sockets.closed());
             Connection connection = new Connection(upstream, to, (ServerChannel) opening.channel());
             opening.channel().pipeline().addLast(connection);
             connection.offer();
-        } else if (upstream.awaiting.size() > upstream.dialing) {
+            return;
+        }
+        // Not by the end of its channel: where no descriptor could be had there is none that could end.
+        sockets.closed();
+        if (upstream.awaiting.size() > upstream.dialing) {
             // One dial was made for each that waits; some may have found a connection that came free.
             upstream.awaiting.poll().ended(Result.CONNECT_FAILED, NO_BODY);
         }
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -65,15 +65,16 @@
     }
 
     private static Path configure(Path folder, String discovery) throws Exception {
-        return configure(folder, "127.0.0.1:0", discovery);
+        return configure(folder, "127.0.0.1:0", discovery, Site.list(0, true));
     }
 
-    private static Path configure(Path folder, String listen, String discovery) throws Exception {
+    private static Path configure(Path folder, String listen, String discovery, String known)
+            throws Exception {
         Path next = Files.writeString(folder.resolve("next.json"), """
-                {"listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":256},"settings":
+                {"listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":256},"known":%s,"settings":
                  {"membershipMode":"on_request","limits":{"attemptsCap":1},
                   "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
-                """.formatted(listen, discovery));
+                """.formatted(listen, discovery, known));
         return Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -148,17 +149,25 @@
                         !up.get() ? Http.answer("503 Down", "", "") : Site.watchHead() + Site.chunk(
                                 Site.list(2, true, "s0=" + server.endpoint() + "=Ready") + "\n")))) {
             // Fewer than it has been told of: else it would not let clients have them all.
-            Process process = program(configure(folder, listen, discovery.endpoint()), discovery.endpoint(),
+            Path config = configure(folder, listen, discovery.endpoint(),
+                    Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
+            Process process = program(config, discovery.endpoint(),
                     List.of("/bin/sh", "-c", "ulimit -n 80; exec \"$0\" \"$@\""));
             try {
                 BufferedReader lines = process.inputReader();
                 awaitLine(lines, "listening on ");
                 InetSocketAddress address = NodeConfig.address("listen", listen);
+                Socket early = new Socket(address.getAddress(), address.getPort());
+                assertEquals(200, Site.ask(early, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
                 for (int i = 0; i < 100; i++) {
                     clients.add(new Socket(address.getAddress(), address.getPort()));
                 }
                 awaitLine(lines, "Too many open files");
                 awaitLine(lines, "discovery: no connection: Unable to create Channel");
+                // More than there are descriptors for servers: each is answered, and none is counted for good.
+                for (int i = 0; i < 200; i++) {
+                    Site.ask(early, Http.page("/api/p", "t" + i, "500m"));
+                }
                 for (Socket client : clients) {
                     client.close();
                 }
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -9,17 +9,26 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+
+import kitemux.Balancer.Result;
 
 /** How attempts end, seen from outside: an order may go on to another server only if it never ran. */
 class ServerPoolTest {
@@ -149,6 +158,47 @@
         }
     }
 
+    @Test
+    void aDialForWhichThereIsNoDescriptorEndsAndIsNotCountedAnyMore() throws Exception {
+        EventLoop loop = Node.newLoop();
+        try {
+            Sockets sockets = new Sockets(256);
+            ServerPool pool = new ServerPool(loop, sockets, new Clock(), 1_000_000, 1_000_000, 0, () -> {
+                throw new ChannelException("Too many open files");
+            });
+            HostList list = HostList.decode(
+                    new ObjectMapper().readTree(Site.list(1, true, "s0=127.0.0.1:9=Ready")), List.of(), "");
+            BlockingQueue<Result> ends = new LinkedBlockingQueue<>();
+            loop.execute(() -> pool.update(list));
+            // More than the node may have open.
+            for (int i = 0; i < 300; i++) {
+                loop.execute(() -> pool.start("s0", new Collected(ends)));
+                assertEquals(Result.CONNECT_FAILED, FarServer.next(ends));
+            }
+            assertTrue(loop.submit(sockets::hasRoomForServer).get());
+        } finally {
+            loop.parent().shutdownGracefully();
+        }
+    }
+
+    /** An exchange of which only the end is wanted. */
+    private record Collected(BlockingQueue<Result> ends) implements ServerPool.Exchange {
+        @Override
+        public boolean isWanted() {
+            return true;
+        }
+
+        @Override
+        public FullHttpRequest message() {
+            throw new IllegalStateException("no connection to carry it");
+        }
+
+        @Override
+        public void ended(Result result, byte[] body) {
+            ends.add(result);
+        }
+    }
+
     @Test
     void interimAnswersArePassedOver() throws Exception {
         try (FarServer server = new FarServer((request, peer) ->
