Tests: thirty instances' sends to a cold server, and lists and peers of a thousand

Adds up what thirty instances send to one cold server in any span of fallUs, at three shares of traffic spread unevenly, with and without warm keys, with further attempts and half of the instances restarted meanwhile, against N + 2 x root of N + 2. A list of 1,024 servers, indented and cut into pieces, and a file with 1,024 peers and servers are read as they are.

--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -4,9 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
@@ -130,6 +134,79 @@
         assertTrue(within <= 14, "nodes that sent at once: " + within);
     }
 
+    /** When one instance of a fleet sends to a cold server; half of them restart in the midst of its start. */
+    private static List<Long> coldSends(Balancer.Settings set, int me, double perS, long startUs, long endUs) {
+        List<Long> times = new ArrayList<>();
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            entries.add(Node.server("s" + i));
+        }
+        Node node = new Node(set, 500 + me).list(ListKind.CACHED, entries);
+        node.now = startUs - 5_000_000;
+        entries.add(started("cold", startUs));
+        boolean told = false;
+        boolean restarted = me % 2 == 0;
+        SplittableRandom random = new SplittableRandom(me);
+        while (node.now < endUs) {
+            node.advance((long) (random.nextDouble() * 2e6 / perS));
+            if (!told && node.now >= startUs) {
+                told = true;
+                node.list(ListKind.CHANGES, entries.subList(10, 11));
+            }
+            if (!restarted && node.now >= startUs + 3_000_000) {
+                restarted = true;
+                long now = node.now;
+                node = new Node(set, 900 + me);
+                node.now = now;
+                node.list(ListKind.CACHED, entries);
+            }
+            int before = node.sent.size();
+            node.askFor("k" + random.nextInt(400), random.nextInt(5));
+            // A part of them fails, so that passing on counts too.
+            for (int i = before; i < node.sent.size(); i++) {
+                Node.Sent sent = node.sent.get(i);
+                if (sent.server().equals("cold")) {
+                    times.add(sent.atUs());
+                }
+                node.answer(sent.request(), random.nextInt(10) == 0 ? Result.CONNECT_FAILED : Result.OK, 1_000);
+            }
+        }
+        return times;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.3, false", "1, false", "3, false", "0.3, true", "1, true", "3, true"})
+    void whatThirtyInstancesSendToAColdServerAddsUpToNoMoreThanItsBudget(double load, boolean warmKeys) {
+        int nodes = 30;
+        double quotaPerS = 330;
+        long startUs = 60_000_000;
+        long endUs = startUs + 10_000_000;
+        List<Long> all = new ArrayList<>();
+        Balancer.Settings set = Node.settings();
+        for (int me = 0; me < nodes; me++) {
+            set = Node.settings();
+            set.nodes = nodes;
+            set.me = me;
+            set.tenants.set(0, new Balancer.Tenant("tenant", quotaPerS));
+            set.warmKeys = warmKeys;
+            // Traffic is uneven: some get several times the mean.
+            double perS = load * quotaPerS / nodes * (me % 6 == 0 ? 3.5 : 0.5);
+            all.addAll(coldSends(set, me, perS, startUs, endUs));
+        }
+        Collections.sort(all);
+        assertTrue(all.size() > 5, "it is used: " + all.size());
+        for (int from = 0, to = 0; from < all.size(); from++) {
+            while (to < all.size() && all.get(to) < all.get(from) + set.fallUs) {
+                to++;
+            }
+            double age = (all.get(from) - startUs) / (double) set.coldUs;
+            double capacity = quotaPerS / 11 * (set.coldFrom + (1 - set.coldFrom) * age);
+            double budget = set.fallMultiple * capacity * set.fallUs / 1e6;
+            assertTrue(to - from <= budget + 2 * Math.sqrt(budget) + 2, (to - from) + " at "
+                    + (all.get(from) - startUs) / 1e6 + " s, where " + budget + " are allowed");
+        }
+    }
+
     /** After a release most servers are cold: what was answered fell with what they were not sent. */
     @Test
     void nodesThatReturnToAFleetOfColdServersUseWhatTheseCanDo() {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -87,6 +87,26 @@
         }
     }
 
+    @Test
+    void aListOfAThousandServersIsReadIndentedAndCutIntoPieces() throws Exception {
+        try (Site site = Site.quiet()) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            watch(site, USUAL, told);
+            FarServer.Peer peer = FarServer.next(site.discovery.peers);
+            String[] entries = new String[1_024];
+            for (int i = 0; i < entries.length; i++) {
+                entries[i] = "server-of-a-large-fleet-" + i + "=127.100.200." + i % 250 + ":18080=Ready";
+            }
+            ObjectMapper json = new ObjectMapper();
+            String list = json.writerWithDefaultPrettyPrinter()
+                    .writeValueAsString(json.readTree(Site.list(42, true, entries)));
+            for (int at = 0; at < list.length(); at += 997) {
+                peer.write(Site.chunk(list.substring(at, Math.min(list.length(), at + 997))));
+            }
+            assertEquals("42 all 1024", FarServer.next(told));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aVersionThatGoesBackIsNotUsedAndTheWholeListAskedFor(boolean whole) throws Exception {
--- a/src/test/java/kitemux/node/NodeConfigTest.java
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -47,6 +47,21 @@
         return NodeConfig.read(env);
     }
 
+    @Test
+    void aFileWithAThousandPeersAndServersIsRead() throws Exception {
+        StringBuilder peers = new StringBuilder("\"127.0.0.1:7946\"");
+        String[] servers = new String[1_024];
+        for (int i = 0; i < servers.length; i++) {
+            peers.append(i == 0 ? "" : ",\"127.3." + i / 250 + "." + i % 250 + ":7946\"");
+            servers[i] = "s" + i + "=127.100.200." + i % 250 + ":18080=Ready";
+        }
+        NodeConfig config = read(CONFIG.replace("\"balancers\":2", "\"balancers\":1024")
+                .replaceFirst("\"known\":.*\n.*\n", "\"peers\":[" + peers + "],\"known\":"
+                        + Site.list(7, true, servers) + ",\n"), Map.of());
+        assertEquals(1_024, config.settings().nodes);
+        assertEquals(1_024, config.known().hosts().size());
+    }
+
     @Test
     void theFileIsReadWithTheWiresNames() throws Exception {
         NodeConfig config = read(CONFIG, Map.of());
