--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -245,7 +245,7 @@
         if (!written) {
             close();
         } else if (!keepAlive) {
-            // Closed over bytes that come now it would be reset, and the answer with it where it is under way.
+            // Closed over bytes that come now it would be reset, and an answer that is under way with it.
             deaf = true;
             channel.shutdownOutput();
             channel.eventLoop().schedule(this::close, Limits.LINGER_MS, TimeUnit.MILLISECONDS);
@@ -276,12 +276,12 @@
             return;
         }
         if (busy) {
-            closeIfOlderThan(Limits.WRITING_MS);
+            closeIfOlderThan(Limits.WRITE_TIMEOUT_MS);
         } else if (!reading) {
             if (isQuiet()) {
-                closeIfOlderThan(everAsked ? Limits.IDLE_MS : Limits.READING_MS);
+                closeIfOlderThan(everAsked ? Limits.KEEP_ALIVE_MS : Limits.READ_TIMEOUT_MS);
             }
-        } else if (isOlderThan(Limits.READING_MS)) {
+        } else if (isOlderThan(Limits.READ_TIMEOUT_MS)) {
             turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
--- a/src/main/java/kitemux/node/ClientListener.java
+++ b/src/main/java/kitemux/node/ClientListener.java
@@ -28,7 +28,7 @@
             super(listener, socket);
         }
 
-        /** Reads all that has come, the end of the connection too. Not for use inside a read of this socket. */
+        /** Reads all that has come, the end of the connection too. Not for use inside a read of it. */
         void readNow() {
             if (isActive()) {
                 unsafe().read();
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -45,7 +45,7 @@
 
     private final EventLoop loop;
     private final List<String> zones;
-    private final Patience patience;
+    private final DiscoveryTimeouts timeouts;
     private final Clock clock;
     private final Listener listener;
     private final Bootstrap dialer;
@@ -56,11 +56,11 @@
     private boolean wanted;
     private Watch current;
     /** When discovery last said something, on whichever watch; of that moment every silence is counted. */
-    private long heardAtUs = Patience.NEVER;
+    private long heardAtUs = DiscoveryTimeouts.NEVER;
 
-    Discovery(EventLoop loop, NodeConfig config, Patience patience, Clock clock, Listener listener) {
+    Discovery(EventLoop loop, NodeConfig config, DiscoveryTimeouts timeouts, Clock clock, Listener listener) {
         this.loop = loop;
-        this.patience = patience;
+        this.timeouts = timeouts;
         this.clock = clock;
         this.listener = listener;
         address = config.discovery();
@@ -87,7 +87,7 @@
         current = watch;
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
-        watch.expectWithin(patience.firstWordUs(clock.nowUs(), heardAtUs));
+        watch.expectWithin(timeouts.firstResponseTimeoutUs(clock.nowUs(), heardAtUs));
         // Where no socket could be had it is another thread that tells of it.
         opening.addListener(done -> loop.execute(() -> dialed(watch, opening)));
     }
@@ -141,7 +141,7 @@
         /** A list or a beat. The head of an answer is none: a watch may come up and say nothing. */
         private void heard() {
             heardAtUs = clock.nowUs();
-            expectWithin(patience.silenceUs());
+            expectWithin(timeouts.silenceTimeoutUs());
         }
 
         /** Ends without a word. */
--- a/src/main/java/kitemux/node/Limits.java
+++ b/src/main/java/kitemux/node/Limits.java
@@ -19,13 +19,13 @@
     static final int MOST_ACCEPTED = 64;
     /** From the first byte of a request to its last, and from connecting to the first request: whoever does
      * not get on holds a socket and memory for nothing. */
-    static final long READING_MS = 2_000;
+    static final long READ_TIMEOUT_MS = 2_000;
     /** Without a request: clients with many connections use few of them, and some never come back. */
-    static final long IDLE_MS = 5_000;
+    static final long KEEP_ALIVE_MS = 5_000;
     /** For a client to take its answer: one that never reads would keep it, and the connection, for good. */
-    static final long WRITING_MS = 5_000;
-    /** For a client to close behind the last answer: closing at once over what it still sends would break that
-     * answer off. */
+    static final long WRITE_TIMEOUT_MS = 5_000;
+    /** For a client to close behind the last answer: closing at once over what it still sends would break
+     * that answer off. */
     static final long LINGER_MS = 1_000;
     /** In which a new connection is not closed to make room: its request may be on its way. */
     static final long FRESH_MS = 100;
--- a/src/main/java/kitemux/node/Log.java
+++ b/src/main/java/kitemux/node/Log.java
@@ -22,8 +22,8 @@
     }
 
     /**
-     * Takes over Netty's warnings. The JDK's own handler opens files as it first tells the time; where there was
-     * no descriptor left for them, the error that this ended in ended the event loop too.
+     * Takes over Netty's warnings. The JDK's own handler opens files as it first tells the time; where there
+     * was no descriptor left for them, the error that this ended in ended the event loop too.
      */
     static void takeOverWarnings() {
         NETTY.setUseParentHandlers(false);
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -131,7 +131,7 @@
         };
         pushed = config.settings().listOnRequest || config.discovery() == null ? null
                 : new PushedLists(loop, config, lists);
-        discovery = new Discovery(loop, config, Patience.of(config.settings()), clock,
+        discovery = new Discovery(loop, config, DiscoveryTimeouts.of(config.settings()), clock,
                 pushed == null ? lists : pushed);
         balancer = module.apply(this);
     }
@@ -155,7 +155,7 @@
         // Before it listens: a node that was told to end just then would end with what it has taken.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
-            node.drain(Departure.of(config.settings()), empty::countDown);
+            node.drain(ShutdownSchedule.of(config.settings()), empty::countDown);
             try {
                 empty.await();
             } catch (InterruptedException e) {
@@ -213,11 +213,11 @@
     }
 
     /** Says no to the front, serves what comes in the time left, and calls back once nothing is held. */
-    void drain(Departure departure, Runnable whenEmpty) {
+    void drain(ShutdownSchedule schedule, Runnable whenEmpty) {
         loop.execute(() -> {
-            lastAnswerAtUs = clock.nowUs() + departure.lastAnswerUs();
-            clients.drain(departure.lastRequestUs(), whenEmpty);
-            loop.schedule(this::failHeld, departure.lastAnswerUs(), TimeUnit.MICROSECONDS);
+            lastAnswerAtUs = clock.nowUs() + schedule.lastAnswerUs();
+            clients.drain(schedule.lastRequestUs(), whenEmpty);
+            loop.schedule(this::failHeld, schedule.lastAnswerUs(), TimeUnit.MICROSECONDS);
         });
     }
 
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -134,8 +134,9 @@
         assertTrue(within <= 14, "nodes that sent at once: " + within);
     }
 
-    /** When one instance of a fleet sends to a cold server; half of them restart in the midst of its start. */
-    private static List<Long> coldSends(Balancer.Settings set, int me, double perS, long startUs, long endUs) {
+    /** When one instance of a fleet sends to a cold server; half of them restart meanwhile. */
+    private static List<Long> coldSends(Balancer.Settings set, int me, double perS, long startUs,
+            long endUs) {
         List<Long> times = new ArrayList<>();
         List<ServerEntry> entries = new ArrayList<>();
         for (int i = 0; i < 10; i++) {
@@ -168,7 +169,8 @@
                 if (sent.server().equals("cold")) {
                     times.add(sent.atUs());
                 }
-                node.answer(sent.request(), random.nextInt(10) == 0 ? Result.CONNECT_FAILED : Result.OK, 1_000);
+                Result result = random.nextInt(10) == 0 ? Result.CONNECT_FAILED : Result.OK;
+                node.answer(sent.request(), result, 1_000);
             }
         }
         return times;
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -176,7 +176,7 @@
             Site.write(client, Http.page("first"));
             FarServer.next(server.requests);
             Socket idle = site.connect();
-            site.node.drain(new Departure(600_000, 20_000_000), () -> { });
+            site.node.drain(new ShutdownSchedule(600_000, 20_000_000), () -> { });
             assertEquals(-1, idle.getInputStream().read(), "the node has left");
             CountDownLatch release = holdUp(site.loop);
             // The answer comes first, so that it is given before the second request is read in its turn.
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -198,7 +198,7 @@
             Site.write(client, Http.page("/api/x", "t", "5000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
-            site.node.drain(new Departure(600_000, 20_000_000), done::countDown);
+            site.node.drain(new ShutdownSchedule(600_000, 20_000_000), done::countDown);
             Http.Message up = site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
             assertEquals(503, up.status());
             assertEquals("close", up.headers().get("connection"));
@@ -220,7 +220,7 @@
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             assertEquals(200, Site.ask(client, Http.page("before")).status());
-            site.node.drain(new Departure(20_000_000, 21_000_000), () -> { });
+            site.node.drain(new ShutdownSchedule(20_000_000, 21_000_000), () -> { });
             site.awaitNoneTaken();
             for (int i = 0; i < 3; i++) {
                 Http.Message answer = Site.ask(client, Http.page("t" + i));
@@ -230,8 +230,8 @@
         }
     }
 
-    /** A departure under which requests are taken no longer soon, and answers have much time. */
-    private static final Departure SOON = new Departure(600_000, 20_000_000);
+    /** A schedule under which requests are taken no longer soon, and answers have much time. */
+    private static final ShutdownSchedule SOON = new ShutdownSchedule(600_000, 20_000_000);
 
     @Test
     @Timeout(60)
@@ -282,7 +282,7 @@
             Site.write(client, Http.order("t", "3600000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
-            site.node.drain(new Departure(600_000, 700_000), done::countDown);
+            site.node.drain(new ShutdownSchedule(600_000, 700_000), done::countDown);
             assertEquals(504, Http.read(client.getInputStream()).status());
             FarServer.next(server.ended);
             assertTrue(done.await(20, TimeUnit.SECONDS));
@@ -305,7 +305,8 @@
     void whatComesBehindTheLastAnswerDoesNotResetItsConnection() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Http.Message last = Site.ask(client, Http.page("t").replace("X-Org", "Connection: close\r\nX-Org"));
+            Http.Message last = Site.ask(client,
+                    Http.page("t").replace("X-Org", "Connection: close\r\nX-Org"));
             assertEquals(200, last.status());
             assertEquals(-1, client.getInputStream().read());
             // Had the node closed, the first of these would be met by a reset and the next would fail.
@@ -323,7 +324,7 @@
         try (FarServer server = new FarServer((request, peer) -> { });
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            site.node.drain(new Departure(20_000_000, 400_000), () -> { });
+            site.node.drain(new ShutdownSchedule(20_000_000, 400_000), () -> { });
             // Its own deadline is past the time for which the client reads.
             assertTrue(Site.ask(client, Http.order("t", "60000m")).status() >= 500);
         }
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -19,16 +19,16 @@
 /** The watch on the list. */
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
-    private static final Patience USUAL = Patience.of(new Settings());
-    private static final Patience SHORT = new Patience(100_000, 200_000, 50_000, 100_000);
+    private static final DiscoveryTimeouts USUAL = DiscoveryTimeouts.of(new Settings());
+    private static final DiscoveryTimeouts SHORT = new DiscoveryTimeouts(100_000, 200_000, 50_000, 100_000);
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
     private final BlockingQueue<String> reasons = new LinkedBlockingQueue<>();
 
     /** A watch alone; what it tells comes as a line. */
-    private Discovery watch(Site site, Patience patience, BlockingQueue<String> told)
+    private Discovery watch(Site site, DiscoveryTimeouts timeouts, BlockingQueue<String> told)
             throws Exception {
-        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), patience, new Clock(),
+        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), timeouts, new Clock(),
                 new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
@@ -205,25 +205,25 @@
         // The module's waits before the first and the second call, at the most; one call may fail.
         long firstWaitUs = 375_000;
         long secondWaitUs = 750_000;
-        long at = USUAL.silenceUs() + firstWaitUs;
-        long firstCallUs = USUAL.firstWordUs(at, 0);
+        long at = USUAL.silenceTimeoutUs() + firstWaitUs;
+        long firstCallUs = USUAL.firstResponseTimeoutUs(at, 0);
         assertTrue(at + firstCallUs < USUAL.toldUs(), "a first call that is answered late");
         at += firstCallUs + secondWaitUs;
         assertTrue(at < USUAL.toldUs(), "the second call is out before");
         // A call long after the last word, or before any, waits for what discovery itself allows.
-        assertEquals(USUAL.callUs(), USUAL.firstWordUs(7_000_000, 0));
-        assertEquals(USUAL.callUs(), USUAL.firstWordUs(0, Patience.NEVER));
+        assertEquals(USUAL.callTimeoutUs(), USUAL.firstResponseTimeoutUs(7_000_000, 0));
+        assertEquals(USUAL.callTimeoutUs(), USUAL.firstResponseTimeoutUs(0, DiscoveryTimeouts.NEVER));
     }
 
     @Test
     void aCallThatHangsAndOneMoreFitIntoTheTimeInWhichAChangeCountsAsToldHoweverLateTheyAre() {
         Settings asked = new Settings();
         asked.listOnRequest = true;
-        Patience patience = Patience.of(asked);
+        DiscoveryTimeouts timeouts = DiscoveryTimeouts.of(asked);
         long longestWaitUs = 1_500_000;
         for (long silentForUs : new long[] {6_000_000, 20_000_000, 3_600_000_000L}) {
-            long callUs = patience.firstWordUs(silentForUs, 0);
-            assertTrue(2 * callUs + longestWaitUs < patience.toldUs(), "after " + silentForUs);
+            long callTimeoutUs = timeouts.firstResponseTimeoutUs(silentForUs, 0);
+            assertTrue(2 * callTimeoutUs + longestWaitUs < timeouts.toldUs(), "after " + silentForUs);
         }
     }
 
@@ -232,8 +232,8 @@
         Settings hurried = new Settings();
         hurried.listOnRequest = true;
         hurried.askWithinUs = 3_000_000;
-        Patience patience = Patience.of(hurried);
-        assertTrue(2 * patience.firstWordUs(0, Patience.NEVER) <= hurried.askWithinUs);
+        DiscoveryTimeouts timeouts = DiscoveryTimeouts.of(hurried);
+        assertTrue(2 * timeouts.firstResponseTimeoutUs(0, DiscoveryTimeouts.NEVER) <= hurried.askWithinUs);
     }
 
     @Test
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -109,7 +109,7 @@
         new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     }
 
-    /** What {@code run} of the deploy file does before it becomes the JVM, under a shell that ignores SIGHUP. */
+    /** What {@code run} of the deploy file does before it becomes the JVM, where SIGHUP is ignored. */
     private static List<String> runWhereHangUpIsIgnored() throws Exception {
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
@@ -164,7 +164,7 @@
                 }
                 awaitLine(lines, "Too many open files");
                 awaitLine(lines, "discovery: no connection: Unable to create Channel");
-                // More than there are descriptors for servers: each is answered, and none is counted for good.
+                // More than there are descriptors for: each is answered, and none is counted for good.
                 for (int i = 0; i < 200; i++) {
                     Site.ask(early, Http.page("/api/p", "t" + i, "500m"));
                 }
--- a/src/test/java/kitemux/node/DepartureTest.java
+++ b/src/test/java/kitemux/node/ShutdownScheduleTest.java
@@ -13,33 +13,33 @@
 import kitemux.Balancer.Settings;
 
 /** Until when a node that ends goes on. */
-class DepartureTest {
+class ShutdownScheduleTest {
 
-    private static Departure departure(long aimUs, long deadlineUs) {
+    private static ShutdownSchedule schedule(long aimUs, long deadlineUs) {
         Settings settings = new Settings();
         for (long part = 1; part <= 2; part++) {
             settings.classes.add(new RequestClass("c" + part, aimUs / part, 0, deadlineUs / part, 1, 0,
                     Repeat.SAFE, Group.ALL, 0, false));
         }
-        return Departure.of(settings);
+        return ShutdownSchedule.of(settings);
     }
 
     @ParameterizedTest
     @ValueSource(longs = {100_000, 1_000_000, 2_500_000, 3_000_000, 30_000_000})
     void allIsAnsweredBeforeTheNodeIsKilledAndWhatComesLastHasItsAim(long deadlineUs) {
         long aimUs = 380_000;
-        Departure departure = departure(aimUs, deadlineUs);
+        ShutdownSchedule schedule = schedule(aimUs, deadlineUs);
         long killedUs = Math.min(3_000_000, deadlineUs) + 700_000;
-        assertTrue(departure.lastAnswerUs() < killedUs);
-        assertTrue(departure.lastRequestUs() <= departure.lastAnswerUs());
-        assertTrue(departure.lastRequestUs() >= Limits.ARRIVING_MS * 1_000);
+        assertTrue(schedule.lastAnswerUs() < killedUs);
+        assertTrue(schedule.lastRequestUs() <= schedule.lastAnswerUs());
+        assertTrue(schedule.lastRequestUs() >= Limits.ARRIVING_MS * 1_000);
         if (deadlineUs >= 1_000_000) {
-            assertEquals(departure.lastAnswerUs() - aimUs, departure.lastRequestUs());
+            assertEquals(schedule.lastAnswerUs() - aimUs, schedule.lastRequestUs());
         }
     }
 
     @Test
     void anAimThatIsLongerThanTheGraceLeavesTheTimeInWhichConnectionsArrive() {
-        assertEquals(Limits.ARRIVING_MS * 1_000, departure(20_000_000, 30_000_000).lastRequestUs());
+        assertEquals(Limits.ARRIVING_MS * 1_000, schedule(20_000_000, 30_000_000).lastRequestUs());
     }
 }
