--- /dev/null
+++ b/src/test/java/kitemux/DeployTest.java
@@ -0,0 +1,33 @@
+package kitemux;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+/** How the deploy file starts a node. */
+class DeployTest {
+
+    /** A node has one core, however many the machine below has: more threads only wake each other. */
+    @Test
+    void theJvmOfANodeHasOneCompilerThread() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String options = run.substring(run.indexOf("java ") + "java ".length(), run.indexOf(" -jar "));
+        List<String> command = new ArrayList<>();
+        command.add(ProcessHandle.current().info().command().orElseThrow());
+        command.addAll(List.of(options.split(" ")));
+        command.addAll(List.of("-XX:+PrintFlagsFinal", "-version"));
+        Process java = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String flags = new String(java.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, java.waitFor(), flags);
+        String count = flags.lines().filter(line -> line.contains(" CICompilerCount ")).findFirst()
+                .orElseThrow();
+        assertEquals("1", count.replaceAll(".*= *([0-9]+).*", "$1"), count);
+    }
+}
