Wait 4 s again for a call to discovery; with 2 s a crowded one never answered some nodes

Log lines: 467 'discovery: silent' over the fleet, and at 19 to 29 s still ten a second, from the same nodes, each some 2 s after its last call. Discovery takes calls in turn and ends itself what waits for 3 s; a node that gave up after 2 s went to the end of the line and its old call still took its turn.

--- a/src/main/java/kitemux/node/DiscoveryTimeouts.java
+++ b/src/main/java/kitemux/node/DiscoveryTimeouts.java
@@ -20,9 +20,9 @@
     private static final long TOLD_US = 6_000_000;
     /** An answer takes some tens of milliseconds where discovery is not crowded. */
     private static final long LEAST_TIMEOUT_US = 1_000_000;
-    /** A third of {@link #TOLD_US}: a call that hangs as discovery comes back, the module's longest wait of
-     * 1.5 s and one more call fit into it. */
-    private static final long CALL_TIMEOUT_US = 2_000_000;
+    /** Discovery ends calls itself that have to wait for too long: this is for one that is silent. With 2 s
+     * a fleet's calls were given up while they waited, and made again: some nodes never got through. */
+    private static final long CALL_TIMEOUT_US = 4_000_000;
 
     /** Two calls fit into the time that the settings give for asking, where that is how lists are had. */
     static DiscoveryTimeouts of(Settings settings) {
