--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -115,10 +115,8 @@
      * requests: at a node of many its part is a few requests a second, which come in bunches. */
     private static final double SHARE_BURST_S = 1;
     private static final double LEAST_SHARE_BURST = 8;
-    /** First wait before a failed list call is made again, doubled each time, and the most that it grows to:
-     * a change counts as told after 6 s, into which a call that hangs and one more that fails have to fit. */
+    /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
-    private static final long MOST_LIST_BACKOFF_US = 1_000_000;
 
     /** Nodes that share a server in a large fleet: enough to even out what single nodes send, few against the
      * connections that a server accepts; as each hears only of its own attempts, fewer also learn more. */
@@ -523,8 +521,7 @@
         }
         // Jittered backoff: nodes that failed together must not ask together again.
         askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
-        listBackoffUs = Math.min(2 * listBackoffUs,
-                Math.min(MOST_LIST_BACKOFF_US, Math.max(1, set.askWithinUs / 4)));
+        listBackoffUs = Math.min(2 * listBackoffUs, Math.max(1, set.askWithinUs / 4));
         scheduleWake();
     }
 
