Tests: read run from the deploy file in one place

NodeTest and DeployTest each searched the deploy file for it. NodeTest also closes the connection that it opened first.

--- a/src/test/java/kitemux/DeployTest.java
+++ b/src/test/java/kitemux/DeployTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -16,8 +14,7 @@
     /** A node has one core, however many the machine below has: more threads only wake each other. */
     @Test
     void theJvmOfANodeHasOneCompilerThread() throws Exception {
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String run = DeployFile.run();
         String options = run.substring(run.indexOf("java ") + "java ".length(), run.indexOf(" -jar "));
         List<String> command = new ArrayList<>();
         command.add(ProcessHandle.current().info().command().orElseThrow());
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import kitemux.Balancer;
+import kitemux.DeployFile;
 import kitemux.Main;
 import kitemux.ServiceQBalancer;
 
@@ -111,9 +112,8 @@
 
     /** What {@code run} of the deploy file does before it becomes the JVM, where SIGHUP is ignored. */
     private static List<String> runWhereHangUpIsIgnored() throws Exception {
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
-        String beforeJava = run.substring(run.indexOf('"') + 1, run.indexOf("java "));
+        String run = DeployFile.run();
+        String beforeJava = run.substring(0, run.indexOf("java "));
         return List.of("/bin/sh", "-c", "trap '' HUP; " + beforeJava + "\"$0\" \"$@\"");
     }
 
@@ -168,6 +168,7 @@
                 for (int i = 0; i < 200; i++) {
                     Site.ask(early, Http.page("/api/p", "t" + i, "500m"));
                 }
+                early.close();
                 for (Socket client : clients) {
                     client.close();
                 }
