Log the discovery client's calls and lists, and reasons of closes, as structured lines

Change: one event=discovery_call line when a call opens its watch or closes, with the age and the times of its connection, status, first byte and first list; event=list for each list taken up or dropped, with version, count and leaving servers; reload, move, start with the settings that bind. KITEMUX_LOG=requests adds each attempt's end, answer and close with its reason, under a rate limit of their own. Dropped lines are counted and told.

--- a/src/main/java/kitemux/node/Attempt.java
+++ b/src/main/java/kitemux/node/Attempt.java
@@ -63,6 +63,10 @@
         return number;
     }
 
+    String serverId() {
+        return serverId;
+    }
+
     long sentAtUs() {
         return sentAtUs;
     }
--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -280,9 +280,9 @@
             server.rested(this);
         }
         if (!written) {
-            close();
+            close("write failed");
         } else if (!keepAlive) {
-            closeInOrder();
+            closeInOrder("last response written");
             return;
         }
         turnDownIfHalfReadForLong();
@@ -325,7 +325,7 @@
         }
         if (busy) {
             if (isOlderThan(Limits.WRITE_TIMEOUT_MS)) {
-                close();
+                close("response not taken in time");
             }
         } else if (isQuiet()) {
             closeIfUnused();
@@ -334,9 +334,9 @@
 
     private void closeIfUnused() {
         if (everAsked && isOlderThan(Limits.KEEP_ALIVE_MS)) {
-            closeInOrder();
+            closeInOrder("idle");
         } else if (!everAsked && isOlderThan(Limits.READ_TIMEOUT_MS)) {
-            close();
+            close("no request in time");
         }
     }
 
@@ -361,12 +361,13 @@
      * reset, and with it a response that is still under way. Those bytes are not read: the client knows that
      * they had no effect.
      */
-    void closeInOrder() {
+    void closeInOrder(String reason) {
+        logClose(reason);
         keepAlive = false;
         readEndOnly();
         deaf = true;
         channel.shutdownOutput();
-        channel.eventLoop().schedule(this::close, Limits.LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop().schedule((Runnable) channel::close, Limits.LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Behind an error there are no requests; what comes is dropped, so that the client sees its error. */
@@ -376,10 +377,17 @@
         }
     }
 
-    void close() {
+    void close(String reason) {
+        logClose(reason);
         channel.close();
     }
 
+    private void logClose(String reason) {
+        Log.request(() -> LogEvent.named("client_connection_closed")
+                .with("reason", reason)
+                .with("request", inFlight == null ? "" : inFlight.request.txn()));
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         keepAlive = false;
@@ -396,6 +404,6 @@
         if (!(cause instanceof IOException)) {
             Log.error("connection to a client", cause);
         }
-        close();
+        close("connection failed: " + cause.getMessage());
     }
 }
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -137,7 +137,7 @@
             return false;
         }
         fresh.remove(oldest);
-        oldest.close();
+        oldest.close("to make room");
         return true;
     }
 
@@ -153,7 +153,7 @@
             ClientConnection client = each.next();
             if (client.isQuiet()) {
                 each.remove();
-                client.close();
+                client.close("to make room");
                 return true;
             }
         }
@@ -245,13 +245,13 @@
         unused.removeAll(busy);
         // What has come, or has begun to, is served, and its answer ends the connection.
         unused.removeIf(client -> !client.isQuiet());
-        unused.forEach(ClientConnection::closeInOrder);
+        unused.forEach(client -> client.closeInOrder("node shuts down"));
         tellIfEmpty();
     }
 
     void close() {
         listening.close();
-        all().forEach(ClientConnection::close);
+        all().forEach(client -> client.close("node ended"));
     }
 
     private void tellIfEmpty() {
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -58,6 +58,8 @@
 
     private boolean wanted;
     private Watch current;
+    /** How many calls were made; each has its number in the log. */
+    private long calls;
     /** When discovery last said something, on whichever watch; of that moment every silence is counted. */
     private long heardAtUs = DiscoveryTimeouts.NEVER;
 
@@ -92,9 +94,9 @@
     void subscribe() {
         wanted = true;
         if (current != null) {
-            current.end();
+            current.end("replaced");
         }
-        Watch watch = new Watch();
+        Watch watch = new Watch(++calls);
         current = watch;
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
@@ -108,6 +110,7 @@
             watch.broken("no connection: " + opening.cause().getMessage());
             return;
         }
+        watch.connectedAtUs = clock.nowUs();
         watch.channel.pipeline().addLast(watch);
         FullHttpRequest ask = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -128,7 +131,7 @@
      */
     void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
-            Log.line("discovery is at " + to + " now");
+            Log.event(LogEvent.named("discovery_moved").with("from", address).with("to", to));
             address = to;
             revIsOfHere = false;
             if (wanted) {
@@ -144,6 +147,35 @@
         private boolean over;
         private boolean told;
 
+        private final long number;
+        private final long dialedAtUs = clock.nowUs();
+        private long connectedAtUs;
+        private long respondedAtUs;
+        private long firstByteAtUs;
+        private long firstListAtUs;
+
+        Watch(long number) {
+            this.number = number;
+        }
+
+        private void logState(String state, String reason) {
+            Log.event(LogEvent.named("discovery_call")
+                    .with("call", number)
+                    .with("state", state)
+                    .with("reason", reason)
+                    .with("after", revIsOfHere ? rev : -1)
+                    .with("age_us", clock.nowUs() - dialedAtUs)
+                    .with("connected_us", sinceDial(connectedAtUs))
+                    .with("status_us", sinceDial(respondedAtUs))
+                    .with("first_byte_us", sinceDial(firstByteAtUs))
+                    .with("first_list_us", sinceDial(firstListAtUs)));
+        }
+
+        /** Microseconds from the dial on, or -1 if it has not happened. */
+        private long sinceDial(long atUs) {
+            return atUs == 0 ? -1 : atUs - dialedAtUs;
+        }
+
         private void expectWithin(long us) {
             if (silence != null) {
                 silence.cancel(false);
@@ -157,8 +189,9 @@
             expectWithin(timeouts.silenceTimeoutUs());
         }
 
-        /** Ends without a word. */
-        void end() {
+        /** Ends without telling the listener. */
+        void end(String reason) {
+            logState("closed", reason);
             over = true;
             silence.cancel(false);
             if (channel.isRegistered()) {
@@ -168,9 +201,8 @@
 
         private void broken(String reason) {
             if (!over) {
-                end();
+                end(reason);
                 current = null;
-                Log.line("discovery: " + reason);
                 listener.failed(reason);
             }
         }
@@ -182,9 +214,11 @@
             }
             if (message.decoderResult().isFailure()) {
                 broken("answer cannot be read");
-            } else if (message instanceof HttpResponse response
-                    && response.status().code() != 200) {
-                broken("status " + response.status().code());
+            } else if (message instanceof HttpResponse response) {
+                respondedAtUs = clock.nowUs();
+                if (response.status().code() != 200) {
+                    broken("status " + response.status().code());
+                }
             } else if (message instanceof HttpContent content) {
                 read(content.content());
                 if (message instanceof LastHttpContent) {
@@ -197,6 +231,9 @@
             if (!bytes.isReadable()) {
                 return;
             }
+            if (firstByteAtUs == 0) {
+                firstByteAtUs = clock.nowUs();
+            }
             List<HostList> lists = new ArrayList<>(1);
             try {
                 for (JsonNode object : reader.read(ByteBufUtil.getBytes(bytes))) {
@@ -204,6 +241,7 @@
                 }
             } catch (IOException | ConfigException e) {
                 lastListWasBad = true;
+                Log.event(LogEvent.named("list").with("action", "dropped").with("call", number));
                 broken("bad list: " + e.getMessage());
                 return;
             }
@@ -212,7 +250,8 @@
             }
             heard();
             if (lists.isEmpty() && !told && revIsOfHere) {
-                // A beat as the first word says that nothing has changed: the call has its answer.
+                // A heartbeat as the first word says that nothing has changed: the call has its answer.
+                logState("unchanged", "heartbeat");
                 lists.add(new HostList(rev, false, List.of()));
             }
             for (HostList list : lists) {
@@ -230,7 +269,7 @@
             lastListWasBad = false;
             return HostList.decodeReadable(object, zones, unreadable -> {
                 lastListWasBad = true;
-                Log.line("discovery: entry left out: " + unreadable.getMessage());
+                Log.event(LogEvent.named("list_entry_unreadable").with("reason", unreadable.getMessage()));
             });
         }
 
@@ -238,16 +277,36 @@
             if (revIsOfHere && list.rev() < rev && (told || !list.all())) {
                 // Late, or of a discovery that counts anew: what it says of a drain may be older than what is
                 // known. The whole list, as the first word on the next watch, holds whatever its version.
+                logList("dropped", list);
                 revIsOfHere = false;
                 broken("version " + list.rev() + " comes after " + rev);
                 return;
             }
+            if (firstListAtUs == 0) {
+                firstListAtUs = clock.nowUs();
+                logState("watching", "first list");
+            }
             told = true;
             rev = list.rev();
             revIsOfHere = true;
+            logList("taken_up", list);
             listener.listed(list);
         }
 
+        private void logList(String action, HostList list) {
+            if (list.hosts().isEmpty() && !list.all()) {
+                return;
+            }
+            Log.event(LogEvent.named("list")
+                    .with("action", action)
+                    .with("call", number)
+                    .with("version", list.rev())
+                    .with("held", rev)
+                    .with("whole", list.all())
+                    .with("entries", list.hosts().size())
+                    .with("leaving", list.leaving()));
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             broken("connection ended");
--- a/src/main/java/kitemux/node/HostList.java
+++ b/src/main/java/kitemux/node/HostList.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -22,6 +23,18 @@
     /** One entry: what the module is told, and the address, which it is not. */
     record Host(ServerEntry entry, InetSocketAddress endpoint) {}
 
+    /** How many of the leaving servers' ids are named in the log. */
+    private static final int MOST_IDS_LOGGED = 16;
+
+    /** The ids of the first servers that drain or are gone, for the log. */
+    String leaving() {
+        return hosts.stream()
+                .filter(host -> host.entry().state() != ServerState.READY)
+                .limit(MOST_IDS_LOGGED)
+                .map(host -> host.entry().id())
+                .collect(Collectors.joining(","));
+    }
+
     /**
      * Decodes a list; zones are named as in the settings.
      *
--- a/src/main/java/kitemux/node/Log.java
+++ b/src/main/java/kitemux/node/Log.java
@@ -2,15 +2,26 @@
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.function.Supplier;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
 /**
  * Lines for the operators on standard error. They are few, so that a flood of failures costs little, and a thread
- * of their own writes them: a reader that stops reading must not hold up the event loop.
+ * of their own writes them: a reader that stops reading must not hold up the event loop. Lines that are dropped
+ * are counted, and the count is written with the next line that is not.
+ *
+ * <p>Lines about single requests and connections are written where {@code KITEMUX_LOG=requests} is set. They have a
+ * rate limit of their own, so that they cannot push out lines about the node's state.
  */
 final class Log {
+    /** The environment variable that selects what is written, and its value for lines about requests. */
+    private static final String LEVEL_VARIABLE = "KITEMUX_LOG";
+
+    private static final String REQUEST_LEVEL = "requests";
+    private static final boolean WRITES_REQUESTS = REQUEST_LEVEL.equals(System.getenv(LEVEL_VARIABLE));
+
     private static final int MOST_PER_S = 20;
     /** Lines that wait for the writer; what comes beyond is dropped. */
     private static final int MOST_WAITING = 64;
@@ -21,8 +32,9 @@
 
     private static final BlockingQueue<String> WAITING = new ArrayBlockingQueue<>(MOST_WAITING);
 
-    private static long second;
-    private static int lines;
+    private static final RateLimit STATE_LIMIT = new RateLimit();
+    private static final RateLimit REQUEST_LIMIT = new RateLimit();
+    private static long dropped;
 
     static {
         Thread writer = new Thread(Log::write, "log");
@@ -32,20 +44,48 @@
 
     private Log() {}
 
+    /** Counts the lines of one kind in the current second. */
+    private static final class RateLimit {
+        private long second;
+        private int lines;
+
+        boolean hasRoom() {
+            long now = System.nanoTime() / 1_000_000_000L;
+            if (now != second) {
+                second = now;
+                lines = 0;
+            }
+            return ++lines <= MOST_PER_S;
+        }
+    }
+
+    /** Writes a line about the node's state. */
     static void line(String text) {
-        if (hasRoom()) {
-            WAITING.offer(text.replace('\n', ' ').replace('\r', ' '));
+        if (hasRoom(STATE_LIMIT)) {
+            enqueue(text.replace('\n', ' ').replace('\r', ' '));
+        }
+    }
+
+    /** Writes a line about the node's state. */
+    static void event(LogEvent event) {
+        line(event.toString());
+    }
+
+    /** Writes a line about one request or connection; it is built only where it is written. */
+    static void request(Supplier<LogEvent> event) {
+        if (WRITES_REQUESTS && hasRoom(REQUEST_LIMIT)) {
+            enqueue(event.get().toString().replace('\n', ' ').replace('\r', ' '));
         }
     }
 
     static void error(String what, Throwable cause) {
-        if (hasRoom()) {
+        if (hasRoom(STATE_LIMIT)) {
             StringBuilder text = new StringBuilder(what).append(": ").append(cause);
             StackTraceElement[] frames = cause.getStackTrace();
             for (int i = 0; i < Math.min(MOST_FRAMES, frames.length); i++) {
                 text.append(System.lineSeparator()).append("    at ").append(frames[i]);
             }
-            WAITING.offer(text.toString());
+            enqueue(text.toString());
         }
     }
 
@@ -81,12 +121,22 @@
         }
     }
 
-    private static synchronized boolean hasRoom() {
-        long now = System.nanoTime() / 1_000_000_000L;
-        if (now != second) {
-            second = now;
-            lines = 0;
+    private static synchronized boolean hasRoom(RateLimit limit) {
+        boolean hasRoom = limit.hasRoom();
+        if (!hasRoom) {
+            dropped++;
+        }
+        return hasRoom;
+    }
+
+    private static synchronized void enqueue(String text) {
+        if (dropped > 0
+                && WAITING.offer(
+                        LogEvent.named("log_dropped").with("lines", dropped).toString())) {
+            dropped = 0;
+        }
+        if (!WAITING.offer(text)) {
+            dropped++;
         }
-        return ++lines <= MOST_PER_S;
     }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -137,6 +137,7 @@
             return;
         }
         Log.takeOverWarnings();
+        logStart(config);
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
         Reload.onHangUp(env, node);
@@ -165,6 +166,18 @@
         Log.line("listening on " + config.listen());
     }
 
+    private static void logStart(NodeConfig config) {
+        Log.event(LogEvent.named("start")
+                .with("listen", config.listen())
+                .with("discovery", config.discovery())
+                .with("nodes", config.settings().nodes)
+                .with("list_on_request", config.settings().listOnRequest)
+                .with("ask_within_us", config.settings().askWithinUs)
+                .with("drain_grace_us", config.settings().drainGraceUs)
+                .with("known_version", config.known().rev())
+                .with("known_servers", config.known().hosts().size()));
+    }
+
     static EventLoop newLoop() {
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
@@ -308,6 +321,12 @@
 
     private void attemptEnded(Attempt attempt, Result result, byte[] body) {
         InFlightRequest request = attempt.of();
+        Log.request(() -> LogEvent.named("attempt_ended")
+                .with("request", request.request.txn())
+                .with("attempt", attempt.number())
+                .with("server", attempt.serverId())
+                .with("result", result)
+                .with("after_us", clock.nowUs() - attempt.sentAtUs()));
         if (result == Result.OK && !request.ended) {
             answer(request, HttpResponseStatus.OK, body, 0);
         }
@@ -343,6 +362,12 @@
         if (request.ended) {
             return;
         }
+        Log.request(() -> LogEvent.named("answer")
+                .with("request", request.request.txn())
+                .with("status", status.code())
+                .with("attempts", request.attempts.size())
+                .with("left_us", request.deadlineUs - clock.nowUs())
+                .with("retry_after_us", retryAfterUs));
         end(request);
         request.client.answer(status, body, retryAfterUs);
         forgetIfOver(request);
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -37,7 +37,9 @@
     /** Each signal has a thread of its own: one at a time, so that the file as read last is what holds. */
     private synchronized void read() {
         try {
-            node.reload(NodeConfig.reread(env));
+            NodeConfig changed = NodeConfig.reread(env);
+            Log.event(LogEvent.named("reload").with("discovery", changed.discovery()));
+            node.reload(changed);
         } catch (ConfigException e) {
             Log.line("reload: " + e.getMessage() + "; the configuration stays as it was");
         }
--- a/src/main/java/kitemux/node/ServerConnection.java
+++ b/src/main/java/kitemux/node/ServerConnection.java
@@ -115,7 +115,7 @@
         channel.beginMessage();
         channel.writeAndFlush(message).addListener(done -> {
             if (!done.isSuccess() && exchange == next) {
-                breakOff();
+                breakOff("write failed");
             }
         });
     }
@@ -155,7 +155,7 @@
     private void read(HttpObject message) {
         if (state != State.ACTIVE || message.decoderResult().isFailure()) {
             // Nobody has asked for it, or it cannot be read: what follows cannot be told from a response.
-            breakOff();
+            breakOff("unexpected or unreadable bytes");
             return;
         }
         if (message instanceof HttpResponse head && !begin(head)) {
@@ -163,7 +163,7 @@
         }
         if (message instanceof HttpContent content && response != null) {
             if (!append(content)) {
-                breakOff();
+                breakOff("response too long");
             } else if (message instanceof LastHttpContent) {
                 answered();
             }
@@ -182,7 +182,7 @@
             return false;
         }
         if (ServerResponse.isTooLong(head)) {
-            breakOff();
+            breakOff("response too long");
             return false;
         }
         response = new ServerResponse(head);
@@ -240,7 +240,11 @@
     // ---------------------------------------------------------------- ends
 
     /** The connection is of no more use; the exchange has failed, and may have run if it was sent whole. */
-    private void breakOff() {
+    private void breakOff(String reason) {
+        Log.request(() -> LogEvent.named("server_connection_closed")
+                .with("server", upstream.id)
+                .with("state", state)
+                .with("reason", reason));
         Result result = channel.isWrittenWhole() ? Result.RESET : Result.CONNECT_FAILED;
         close();
         end(result, NO_BODY);
@@ -266,14 +270,14 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent && state != State.CLOSED) {
-            breakOff();
+            breakOff("server ended its sending");
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (state != State.CLOSED) {
-            breakOff();
+            breakOff("connection ended");
         }
     }
 
@@ -283,7 +287,7 @@
             Log.error("connection to server " + upstream.id, cause);
         }
         if (state != State.CLOSED) {
-            breakOff();
+            breakOff("connection failed: " + cause.getMessage());
         }
     }
 }
--- a/src/test/java/kitemux/node/LogTest.java
+++ b/src/test/java/kitemux/node/LogTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -69,4 +70,48 @@
             System.setErr(usual);
         }
     }
+
+    @Test
+    void aStructuredLineQuotesWhatHoldsABlank() {
+        String line = LogEvent.named("discovery_call")
+                .with("call", 3)
+                .with("reason", "status \"503\"")
+                .with("whole", true)
+                .with("leaving", "")
+                .toString();
+        assertTrue(
+                line.matches("event=discovery_call mono_us=\\d+ wall=\\S+Z call=3 reason=\"status '503'\""
+                        + " whole=true leaving=\"\""),
+                line);
+    }
+
+    @Test
+    void linesThatAreDroppedAreCountedInTheLog() throws Exception {
+        BlockingQueue<String> written = new LinkedBlockingQueue<>();
+        PrintStream usual = System.err;
+        System.setErr(new PrintStream(OutputStream.nullOutputStream()) {
+            @Override
+            public void println(String line) {
+                written.add(line);
+            }
+        });
+        try {
+            int burst = 200;
+            for (int i = 0; i < burst; i++) {
+                Log.line("a line of many");
+            }
+            long dropped = 0;
+            // Twenty lines a second are written, and a burst may cross into a second one.
+            while (dropped < burst - 2 * 20) {
+                // Counts come with the next line that is written, in the next second at the latest.
+                Log.line("a later line");
+                String line = written.poll(50, TimeUnit.MILLISECONDS);
+                if (line != null && line.startsWith("event=log_dropped")) {
+                    dropped += Long.parseLong(line.substring(line.lastIndexOf('=') + 1));
+                }
+            }
+        } finally {
+            System.setErr(usual);
+        }
+    }
 }
