Fault harness: calls to discovery that hang make processes send to a draining server

Processes started by the deploy file's command line meet a discovery whose first calls hang, are refused, wait their turn or end instead of telling; an oracle in the stand-ins, with planted violations of its own, judges drain by the protocol's terms.

--- /dev/null
+++ b/src/test/java/kitemux/fault/DrainNotificationTest.java
@@ -0,0 +1,57 @@
+package kitemux.fault;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import kitemux.fault.DiscoveryStandIn.Fault;
+import kitemux.fault.DrainScenario.Outcome;
+
+/** Processes whose calls to discovery fail while a server drains: none may send to it after the grace. */
+class DrainNotificationTest {
+    private static final int AT_ONCE = 4;
+
+    /** Calls that hang, are refused, wait their turn, or end instead of telling, as in the records of incident-1. */
+    private static final List<DrainScenario> SCENARIOS = List.of(
+            new DrainScenario("two calls hang", 4, List.of(Fault.SILENT, Fault.SILENT), 0),
+            new DrainScenario("a refused, a hanging call", 17, List.of(Fault.BUSY, Fault.SILENT, Fault.QUEUED), 0),
+            new DrainScenario("two refused, one waits", 17, List.of(Fault.BUSY, Fault.BUSY, Fault.QUEUED), 0),
+            new DrainScenario("large fleet", 120, List.of(Fault.SILENT, Fault.RESET, Fault.BUSY_LATE), 0),
+            new DrainScenario("heads only", 5, List.of(Fault.HEAD_ONLY, Fault.HEAD_ONLY), 0),
+            new DrainScenario("ends at change", 6, List.of(Fault.ENDS_AT_CHANGE, Fault.SILENT, Fault.QUEUED), 500),
+            new DrainScenario("falls silent", 6, List.of(Fault.FALLS_SILENT, Fault.SILENT), 500),
+            new DrainScenario("a list cut short", 6, List.of(Fault.CUT_SHORT, Fault.SILENT, Fault.OMITS_LEAVING), 0));
+
+    @Test
+    @Timeout(120)
+    void nothingIsSentToADrainingServerAfterTheGraceWhateverCallsMeet(@TempDir Path folder) throws Exception {
+        ExecutorService players = Executors.newFixedThreadPool(AT_ONCE);
+        try {
+            List<Callable<Outcome>> plays = new ArrayList<>();
+            for (DrainScenario scenario : SCENARIOS) {
+                Path own = Files.createDirectory(folder.resolve("s" + plays.size()));
+                plays.add(() -> scenario.play(own));
+            }
+            List<Outcome> broken = new ArrayList<>();
+            for (Future<Outcome> play : players.invokeAll(plays)) {
+                if (!play.get().isKept()) {
+                    broken.add(play.get());
+                }
+            }
+            assertEquals(List.of(), broken);
+        } finally {
+            players.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/fault/DrainOracleTest.java
@@ -0,0 +1,61 @@
+package kitemux.fault;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.fault.AppServerStandIn.Arrival;
+import kitemux.fault.DiscoveryStandIn.Written;
+import kitemux.fault.ServerListHistory.Change;
+import kitemux.fault.ServerListHistory.State;
+
+/** Planted violations must be found, and what the terms allow must not. */
+class DrainOracleTest {
+    private static final long MS = 1_000_000;
+    private static final List<Change> DRAIN_AT_1_S = List.of(new Change("s", State.DRAINING, 1_000 * MS));
+
+    private static int violations(List<Change> changes, long reachableMs, List<Written> written, long... arrivalsMs) {
+        List<Arrival> arrivals = new ArrayList<>();
+        for (long at : arrivalsMs) {
+            arrivals.add(new Arrival("s", "r" + at, at * MS));
+        }
+        return new DrainOracle(reachableMs * MS, changes, written)
+                .judge(arrivals)
+                .size();
+    }
+
+    @Test
+    void whatIsWrittenCountsAtOnce() {
+        List<Written> written = List.of(new Written(0, 100 * MS), new Written(1, 2_000 * MS));
+        assertEquals(0, violations(DRAIN_AT_1_S, 0, written, 500, 1_500, 2_549));
+        assertEquals(2, violations(DRAIN_AT_1_S, 0, written, 2_551, 9_000));
+    }
+
+    @Test
+    void whatIsNotWrittenCountsSixSecondsAfterDiscoveryHadItAndCouldBeReached() {
+        assertEquals(0, violations(DRAIN_AT_1_S, 0, List.of(), 7_549));
+        assertEquals(1, violations(DRAIN_AT_1_S, 0, List.of(), 7_551));
+        assertEquals(0, violations(DRAIN_AT_1_S, 3_000, List.of(), 9_549));
+        assertEquals(1, violations(DRAIN_AT_1_S, 3_000, List.of(), 9_551));
+    }
+
+    @Test
+    void aServerThatIsReadyAgainMayBeUsedAndOneThatGoesAfterItsDrainMayNot() {
+        List<Change> back =
+                List.of(new Change("s", State.DRAINING, 1_000 * MS), new Change("s", State.READY, 3_000 * MS));
+        assertEquals(0, violations(back, 0, List.of(new Written(2, 3_000 * MS)), 3_100, 20_000));
+        List<Change> gone =
+                List.of(new Change("s", State.DRAINING, 1_000 * MS), new Change("s", State.GONE, 7_000 * MS));
+        assertEquals(1, violations(gone, 0, List.of(), 7_600));
+        assertEquals(0, violations(gone, 0, List.of(), 7_500));
+    }
+
+    @Test
+    void otherServersAreNotJudgedByIt() {
+        Arrival other = new Arrival("t", "r", 60_000 * MS);
+        assertEquals(List.of(), new DrainOracle(0, DRAIN_AT_1_S, List.of()).judge(List.of(other)));
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/fault/StandInThreads.java
@@ -0,0 +1,27 @@
+package kitemux.fault;
+
+import java.io.IOException;
+
+/** Daemon threads of the stand-ins, which end with their sockets. */
+final class StandInThreads {
+    /** What a thread does until its socket is closed. */
+    interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private StandInThreads() {}
+
+    static void start(Task task) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException | InterruptedException e) {
+                        // The other side has closed, or the test is over.
+                    }
+                },
+                "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
