Keep a call to discovery that waits its turn, and bound the time between two calls

Cause: each call, dial and wait was bounded on its own, their sum was not (class: time-outs that add up, and a retry that gives up its place in a queue). DiscoveryTimeouts gave a call half of what was left, and the module's second subscription ended the one that still waited. Change: DiscoveryCallScheduler, a state machine without sockets or clock, decides when calls are made. A call begins at most 2 s after the one before it, beside it; two wait at most, the first to speak wins. A silent watch is kept until another call speaks. After a move the old watch is heard until the new place speaks. A fleet of 120 makes at most one call more a node in 1.5 to 2 s while discovery is silent, none where it answers within 1.5 s.

--- /dev/null
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -0,0 +1,193 @@
+package kitemux;
+
+import java.util.ArrayDeque;
+import java.util.Iterator;
+
+/**
+ * Decides when a node calls discovery and which of its calls it keeps. A call asks for all changes since the last
+ * list; the first to say something becomes the watch, on which later changes come.
+ *
+ * <p>A change counts as notified 6 s after discovery had it and could be reached, whatever failed before. So what
+ * must be bounded is the time from any moment to the next call, not that of a single call: a call may hang for good,
+ * or wait for its turn in a discovery that many call. While there is no watch, or the watch is silent, a call begins
+ * at most {@link Timing#hedgeAfterUs} after the one before it, which goes on waiting beside it: ending a call that
+ * waits for its turn would cost its place. The first that says something wins, and the others are closed. At most
+ * {@value #MOST_PENDING} calls wait at once.
+ *
+ * <p>All times are microseconds of the node's monotonic clock. The class has no clock, sockets or timers of its own.
+ */
+public final class DiscoveryCallScheduler {
+    /** {@link #wakeAtUs} where nothing is to be done until something is reported. */
+    public static final long NEVER = Long.MAX_VALUE;
+
+    /** Calls that wait for their first word at the same time. */
+    private static final int MOST_PENDING = 2;
+
+    private static final long NO_CALL = -1;
+
+    /** What the scheduler asks for; calls are named by numbers that are never used again. */
+    public interface Calls {
+        /** Begin a call. */
+        void open(long call);
+
+        /** End a call, which is not reported as failed. */
+        void close(long call, String reason);
+    }
+
+    /** Draws from a range, both ends included. */
+    public interface Jitter {
+        long between(long least, long most);
+    }
+
+    /**
+     * The times that bind, in microseconds.
+     *
+     * @param hedgeAfterUs after so long without a word on a call, at most, another one begins beside it
+     * @param silenceUs after so long without a word a watch is taken for silent
+     * @param longestFirstWaitUs the longest wait after a watch has ended
+     * @param longestWaitUs the longest wait after a call has failed
+     */
+    public record Timing(long hedgeAfterUs, long silenceUs, long longestFirstWaitUs, long longestWaitUs) {
+        private static final long HEDGE_AFTER_US = 2_000_000;
+        /** Discovery writes every 2 s. A call too many is cheap, as the watch is kept beside it. */
+        private static final long SILENCE_US = 2_500_000;
+
+        private static final long LONGEST_FIRST_WAIT_US = 375_000;
+        /** Of the longest wait, for each node: a crowded discovery serves some tens of calls a second. */
+        private static final long WAIT_PER_NODE_US = 40_000;
+
+        /** What an agent that pushes lists gets counts at once: half of the grace to find it, half for its list. */
+        private static final int GRACE_PARTS = 2;
+
+        private static final long PUSHED_HEDGE_AFTER_US = 1_000_000;
+
+        /** The times that follow from a site's settings. */
+        public static Timing of(Balancer.Settings settings) {
+            if (!settings.listOnRequest) {
+                long wait = Math.max(1, settings.drainGraceUs / GRACE_PARTS);
+                return new Timing(PUSHED_HEDGE_AFTER_US, SILENCE_US, wait, wait);
+            }
+            // Two calls fit into the time that the settings give for asking.
+            long hedge = Math.max(1, Math.min(HEDGE_AFTER_US, settings.askWithinUs / 2));
+            long spread = Math.max(LONGEST_FIRST_WAIT_US, settings.nodes * WAIT_PER_NODE_US);
+            return new Timing(hedge, SILENCE_US, Math.min(hedge, LONGEST_FIRST_WAIT_US), Math.min(hedge, spread));
+        }
+    }
+
+    private final Timing timing;
+    private final Jitter jitter;
+    private final Calls calls;
+
+    /** Calls that have not said anything yet, the oldest first. */
+    private final ArrayDeque<Long> pending = new ArrayDeque<>();
+
+    private long lastCall;
+    private long watch = NO_CALL;
+    /** The watch at the place where discovery was before, until a call to the new place says something. */
+    private long watchElsewhere = NO_CALL;
+
+    private long nextCallAtUs = NEVER;
+
+    public DiscoveryCallScheduler(Timing timing, Jitter jitter, Calls calls) {
+        this.timing = timing;
+        this.jitter = jitter;
+        this.calls = calls;
+    }
+
+    /** When {@link #wake} is due, or {@link #NEVER}. */
+    public long wakeAtUs() {
+        return nextCallAtUs;
+    }
+
+    /** Whether a call is open, with or without a word. */
+    public boolean isOpen() {
+        return watch != NO_CALL || !pending.isEmpty();
+    }
+
+    /** Makes the first call. */
+    public void start(long nowUs) {
+        open(nowUs);
+    }
+
+    /** Discovery is elsewhere from now on. The old watch is heard until the new place says something. */
+    public void moved(long nowUs) {
+        closePending("discovery has moved");
+        if (watch != NO_CALL) {
+            closeElsewhere();
+            watchElsewhere = watch;
+            watch = NO_CALL;
+        }
+        open(nowUs);
+    }
+
+    /** A call has said something: a list, or that nothing has changed. */
+    public void heard(long nowUs, long call) {
+        if (call == watchElsewhere) {
+            return;
+        }
+        if (call != watch) {
+            pending.remove(call);
+            if (watch != NO_CALL) {
+                calls.close(watch, "a newer call has spoken");
+            }
+            watch = call;
+            closeElsewhere();
+        }
+        closePending("the watch has spoken");
+        nextCallAtUs = nowUs + timing.silenceUs;
+    }
+
+    /** A call has failed, or a watch has ended. */
+    public void failed(long nowUs, long call) {
+        if (call == watchElsewhere) {
+            watchElsewhere = NO_CALL;
+        } else if (call == watch) {
+            watch = NO_CALL;
+            if (pending.isEmpty()) {
+                callWithin(nowUs, timing.longestFirstWaitUs);
+            }
+        } else if (pending.remove(call) && pending.isEmpty()) {
+            callWithin(nowUs, timing.longestWaitUs);
+        }
+    }
+
+    /** The time of {@link #wakeAtUs} has come. */
+    public void wake(long nowUs) {
+        if (nowUs >= nextCallAtUs) {
+            open(nowUs);
+        }
+    }
+
+    private void callWithin(long nowUs, long longestUs) {
+        nextCallAtUs = Math.min(nextCallAtUs, nowUs + jitter.between(shortest(longestUs), longestUs));
+    }
+
+    /** A third of the longest wait, at least; calls that fail together must not come together again. */
+    private static long shortest(long longestUs) {
+        return Math.max(1, longestUs / 3);
+    }
+
+    private void open(long nowUs) {
+        if (pending.size() == MOST_PENDING) {
+            calls.close(pending.poll(), "silent");
+        }
+        long call = ++lastCall;
+        pending.add(call);
+        nextCallAtUs = nowUs + jitter.between(timing.hedgeAfterUs * 3 / 4, timing.hedgeAfterUs);
+        calls.open(call);
+    }
+
+    private void closePending(String reason) {
+        for (Iterator<Long> each = pending.iterator(); each.hasNext(); ) {
+            calls.close(each.next(), reason);
+            each.remove();
+        }
+    }
+
+    private void closeElsewhere() {
+        if (watchElsewhere != NO_CALL) {
+            calls.close(watchElsewhere, "discovery has moved");
+            watchElsewhere = NO_CALL;
+        }
+    }
+}
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -1,82 +1,76 @@
 package kitemux.node;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
-/** The watch on discovery's list. When it breaks it says so; asking again is the module's word. */
-final class Discovery {
-    /** What the watch tells. */
+import kitemux.DiscoveryCallScheduler;
+import kitemux.DiscoveryCallScheduler.Timing;
+
+/**
+ * The client of discovery: it makes the calls that {@link DiscoveryCallScheduler} asks for, and passes on the lists
+ * that come. It keeps the version of the last list, which the next call names.
+ */
+final class Discovery implements DiscoveryCallScheduler.Calls {
+    /** What discovery has to say, and what became of calls. */
     interface Listener {
+        /** A list has come. */
         void listed(HostList list);
 
-        void failed(String reason);
+        /** A call or a watch has failed; another call follows without the listener's doing. */
+        default void failed(String reason) {}
     }
 
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
     private final EventLoop loop;
     private final List<String> zones;
-    private final DiscoveryTimeouts timeouts;
     private final Clock clock;
     private final Listener listener;
     private final Bootstrap dialer;
+    private final DiscoveryCallScheduler scheduler;
+    private final Map<Long, DiscoveryCall> calls = new HashMap<>();
     private InetSocketAddress address;
-    private long rev;
-    /** Whether the version is one of this place's, so that a watch can go on from it. */
-    private boolean revIsOfHere = true;
+    /** Counts the addresses that discovery has had: a call belongs to one of them. */
+    private int place;
+    /** The version of the last list. */
+    private long version;
+    /** Whether that version is one of this place's, so that a watch can go on from it. */
+    private boolean versionIsOfThisPlace = true;
     /** Whether the last list could not be read: of the next one, what can be read holds. */
     private boolean lastListWasBad;
 
-    private boolean wanted;
-    private Watch current;
-    /** How many calls were made; each has its number in the log. */
-    private long calls;
-    /** When discovery last said something, on whichever watch; of that moment every silence is counted. */
-    private long heardAtUs = DiscoveryTimeouts.NEVER;
+    private boolean started;
+    private Future<?> wake;
 
     Discovery(
             EventLoop loop,
             NodeConfig config,
-            DiscoveryTimeouts timeouts,
+            Timing timing,
             Clock clock,
             Listener listener,
             ChannelFactory<? extends SocketChannel> channels) {
         this.loop = loop;
-        this.timeouts = timeouts;
         this.clock = clock;
         this.listener = listener;
         address = config.discovery();
         zones = config.settings().zones;
-        rev = config.known().rev();
+        version = config.known().rev();
+        SplittableRandom random = new SplittableRandom(config.seed());
+        scheduler = new DiscoveryCallScheduler(timing, (least, most) -> random.nextLong(least, most + 1), this);
         dialer = new Bootstrap()
                 .group(loop)
                 .channelFactory(channels)
@@ -90,234 +84,123 @@
                 });
     }
 
-    /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
-    void subscribe() {
-        wanted = true;
-        if (current != null) {
-            current.end("replaced");
+    /** Makes the first call; from then on there is always a watch, or a call for one is made or due. */
+    void start() {
+        if (!started) {
+            started = true;
+            scheduler.start(clock.nowUs());
+            scheduleWake();
         }
-        Watch watch = new Watch(++calls);
-        current = watch;
-        ChannelFuture opening = dialer.connect(address);
-        watch.channel = opening.channel();
-        watch.expectWithin(timeouts.firstResponseTimeoutUs(clock.nowUs(), heardAtUs));
-        // Where no socket could be had it is another thread that tells of it.
-        opening.addListener(done -> loop.execute(() -> dialed(watch, opening)));
-    }
-
-    private void dialed(Watch watch, ChannelFuture opening) {
-        if (!opening.isSuccess()) {
-            watch.broken("no connection: " + opening.cause().getMessage());
-            return;
-        }
-        watch.connectedAtUs = clock.nowUs();
-        watch.channel.pipeline().addLast(watch);
-        FullHttpRequest ask = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.GET,
-                "/discovery/hosts?watch=1" + (revIsOfHere ? "&after=" + rev : ""));
-        ask.headers().set(HttpHeaderNames.HOST, "discovery");
-        watch.channel.writeAndFlush(ask);
-    }
-
-    /** Whether a watch is open or being opened. */
-    boolean isOpen() {
-        return current != null;
     }
 
     /**
-     * Discovery is elsewhere from now on. The watch goes there at once; no failure is told of the old one.
-     * Nothing says that versions mean the same at both places, so the whole list is asked for.
+     * Discovery is elsewhere from now on. Nothing says that versions mean the same at both places, so the whole list
+     * is asked for.
      */
     void moveTo(InetSocketAddress to) {
-        if (!to.equals(address)) {
-            Log.event(LogEvent.named("discovery_moved").with("from", address).with("to", to));
-            address = to;
-            revIsOfHere = false;
-            if (wanted) {
-                subscribe();
-            }
+        if (to.equals(address)) {
+            return;
+        }
+        Log.event(LogEvent.named("discovery_moved").with("from", address).with("to", to));
+        address = to;
+        place++;
+        versionIsOfThisPlace = false;
+        if (started) {
+            scheduler.moved(clock.nowUs());
+            scheduleWake();
         }
     }
 
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ListReader reader = new ListReader();
-        private Channel channel;
-        private Future<?> silence;
-        private boolean over;
-        private boolean told;
-
-        private final long number;
-        private final long dialedAtUs = clock.nowUs();
-        private long connectedAtUs;
-        private long respondedAtUs;
-        private long firstByteAtUs;
-        private long firstListAtUs;
-
-        Watch(long number) {
-            this.number = number;
-        }
+    // ---------------------------------------------------------------- what the scheduler asks for
 
-        private void logState(String state, String reason) {
-            Log.event(LogEvent.named("discovery_call")
-                    .with("call", number)
-                    .with("state", state)
-                    .with("reason", reason)
-                    .with("after", revIsOfHere ? rev : -1)
-                    .with("age_us", clock.nowUs() - dialedAtUs)
-                    .with("connected_us", sinceDial(connectedAtUs))
-                    .with("status_us", sinceDial(respondedAtUs))
-                    .with("first_byte_us", sinceDial(firstByteAtUs))
-                    .with("first_list_us", sinceDial(firstListAtUs)));
-        }
+    @Override
+    public void open(long number) {
+        ChannelFuture opening = dialer.connect(address);
+        DiscoveryCall call = new DiscoveryCall(number, place, this, opening.channel(), clock);
+        calls.put(number, call);
+        // Where no socket could be had it is another thread that tells of it.
+        opening.addListener(done -> loop.execute(() -> call.dialed(opening, versionOrNone())));
+    }
 
-        /** Microseconds from the dial on, or -1 if it has not happened. */
-        private long sinceDial(long atUs) {
-            return atUs == 0 ? -1 : atUs - dialedAtUs;
-        }
+    @Override
+    public void close(long number, String reason) {
+        calls.remove(number).end(reason);
+    }
 
-        private void expectWithin(long us) {
-            if (silence != null) {
-                silence.cancel(false);
-            }
-            silence = loop.schedule(() -> broken("silent"), us, TimeUnit.MICROSECONDS);
+    private void scheduleWake() {
+        if (wake != null) {
+            wake.cancel(false);
         }
+        long atUs = scheduler.wakeAtUs();
+        wake = atUs == DiscoveryCallScheduler.NEVER
+                ? null
+                : loop.schedule(this::wake, Math.max(0, atUs - clock.nowUs()), TimeUnit.MICROSECONDS);
+    }
 
-        /** A list or a beat. The head of an answer is none: a watch may come up and say nothing. */
-        private void heard() {
-            heardAtUs = clock.nowUs();
-            expectWithin(timeouts.silenceTimeoutUs());
-        }
+    private void wake() {
+        scheduler.wake(clock.nowUs());
+        scheduleWake();
+    }
 
-        /** Ends without telling the listener. */
-        void end(String reason) {
-            logState("closed", reason);
-            over = true;
-            silence.cancel(false);
-            if (channel.isRegistered()) {
-                channel.close();
-            }
-        }
+    // ---------------------------------------------------------------- what calls report
 
-        private void broken(String reason) {
-            if (!over) {
-                end(reason);
-                current = null;
-                listener.failed(reason);
-            }
-        }
+    /** The version from which a call to this place may go on, or -1 for the whole list. */
+    long versionOrNone() {
+        return versionIsOfThisPlace ? version : -1;
+    }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (over) {
-                return;
-            }
-            if (message.decoderResult().isFailure()) {
-                broken("answer cannot be read");
-            } else if (message instanceof HttpResponse response) {
-                respondedAtUs = clock.nowUs();
-                if (response.status().code() != 200) {
-                    broken("status " + response.status().code());
-                }
-            } else if (message instanceof HttpContent content) {
-                read(content.content());
-                if (message instanceof LastHttpContent) {
-                    broken("watch ended");
-                }
-            }
-        }
+    List<String> zones() {
+        return zones;
+    }
 
-        private void read(ByteBuf bytes) {
-            if (!bytes.isReadable()) {
-                return;
-            }
-            if (firstByteAtUs == 0) {
-                firstByteAtUs = clock.nowUs();
-            }
-            List<HostList> lists = new ArrayList<>(1);
-            try {
-                for (JsonNode object : reader.read(ByteBufUtil.getBytes(bytes))) {
-                    lists.add(decode(object));
-                }
-            } catch (IOException | ConfigException e) {
-                lastListWasBad = true;
-                Log.event(LogEvent.named("list").with("action", "dropped").with("call", number));
-                broken("bad list: " + e.getMessage());
-                return;
-            }
-            if (lists.isEmpty() && !reader.isBetweenObjects()) {
-                return;
-            }
-            heard();
-            if (lists.isEmpty() && !told && revIsOfHere) {
-                // A heartbeat as the first word says that nothing has changed: the call has its answer.
-                logState("unchanged", "heartbeat");
-                lists.add(new HostList(rev, false, List.of()));
-            }
-            for (HostList list : lists) {
-                if (!over) {
-                    accept(list);
-                }
-            }
-        }
+    boolean lastListWasBad() {
+        return lastListWasBad;
+    }
 
-        /** A bad list is dropped and asked for anew. One that stays bad must not hide all later changes. */
-        private HostList decode(JsonNode object) throws ConfigException {
-            if (!lastListWasBad) {
-                return HostList.decode(object, zones, "");
-            }
-            lastListWasBad = false;
-            return HostList.decodeReadable(object, zones, unreadable -> {
-                lastListWasBad = true;
-                Log.event(LogEvent.named("list_entry_unreadable").with("reason", unreadable.getMessage()));
-            });
-        }
+    void setLastListWasBad(boolean bad) {
+        lastListWasBad = bad;
+    }
 
-        private void accept(HostList list) {
-            if (revIsOfHere && list.rev() < rev && (told || !list.all())) {
-                // Late, or of a discovery that counts anew: what it says of a drain may be older than what is
-                // known. The whole list, as the first word on the next watch, holds whatever its version.
-                logList("dropped", list);
-                revIsOfHere = false;
-                broken("version " + list.rev() + " comes after " + rev);
-                return;
-            }
-            if (firstListAtUs == 0) {
-                firstListAtUs = clock.nowUs();
-                logState("watching", "first list");
-            }
-            told = true;
-            rev = list.rev();
-            revIsOfHere = true;
-            logList("taken_up", list);
-            listener.listed(list);
-        }
+    /** A call has said something: lists, or nothing but that it is there. */
+    void heard(DiscoveryCall call) {
+        scheduler.heard(clock.nowUs(), call.number());
+        scheduleWake();
+    }
 
-        private void logList(String action, HostList list) {
-            if (list.hosts().isEmpty() && !list.all()) {
-                return;
-            }
-            Log.event(LogEvent.named("list")
-                    .with("action", action)
-                    .with("call", number)
-                    .with("version", list.rev())
-                    .with("held", rev)
-                    .with("whole", list.all())
-                    .with("entries", list.hosts().size())
-                    .with("leaving", list.leaving()));
-        }
+    /** A call has ended by itself. */
+    void failed(DiscoveryCall call, String reason) {
+        calls.remove(call.number());
+        scheduler.failed(clock.nowUs(), call.number());
+        scheduleWake();
+        listener.failed(reason);
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            broken("connection ended");
-        }
+    /** Whether a heartbeat as a call's first word says that the list that is known still holds. */
+    boolean holdsListOf(DiscoveryCall call) {
+        return call.place() == place && versionIsOfThisPlace;
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
-                Log.error("watch on discovery", cause);
-            }
-            broken("connection failed");
-        }
+    /**
+     * Takes up a list.
+     *
+     * @param isFirst whether it is the first word of its call
+     * @return false if its version goes back, so that it must not be used
+     */
+    boolean accept(DiscoveryCall call, HostList list, boolean isFirst) {
+        if (call.place() != place) {
+            // The last words of where discovery was before: they hold, but no later call goes on from them.
+            listener.listed(list);
+            return true;
+        }
+        if (versionIsOfThisPlace && list.rev() < version && (!isFirst || !list.all())) {
+            // Late, or of a discovery that counts anew: what it says of a drain may be older than what is
+            // known. The whole list, as the first word on the next watch, holds whatever its version.
+            versionIsOfThisPlace = false;
+            return false;
+        }
+        version = list.rev();
+        versionIsOfThisPlace = true;
+        listener.listed(list);
+        return true;
     }
 }
--- /dev/null
+++ b/src/main/java/kitemux/node/DiscoveryCall.java
@@ -0,0 +1,231 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** One call to discovery on a connection of its own, and the watch that it becomes once it has said something. */
+final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject> {
+    private static final int OK = 200;
+    /** Of a time that has not come. */
+    private static final long NOT_YET = 0;
+
+    private final long number;
+    private final int place;
+    private final Discovery discovery;
+    private final Channel channel;
+    private final Clock clock;
+    private final ListReader reader = new ListReader();
+    private boolean ended;
+    private boolean hasSpoken;
+
+    private final long dialedAtUs;
+    private long connectedAtUs = NOT_YET;
+    private long respondedAtUs = NOT_YET;
+    private long firstByteAtUs = NOT_YET;
+    private long firstWordAtUs = NOT_YET;
+
+    /** A call of this number to the place of this number, on a connection that is being opened. */
+    DiscoveryCall(long number, int place, Discovery discovery, Channel channel, Clock clock) {
+        this.number = number;
+        this.place = place;
+        this.discovery = discovery;
+        this.channel = channel;
+        this.clock = clock;
+        dialedAtUs = clock.nowUs();
+    }
+
+    long number() {
+        return number;
+    }
+
+    int place() {
+        return place;
+    }
+
+    /** The dial has ended; asks for all changes after a version, or for the whole list if that is negative. */
+    void dialed(ChannelFuture opening, long after) {
+        if (ended) {
+            return;
+        }
+        if (!opening.isSuccess()) {
+            fail("no connection: " + opening.cause().getMessage());
+            return;
+        }
+        connectedAtUs = clock.nowUs();
+        channel.pipeline().addLast(this);
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.GET,
+                "/discovery/hosts?watch=1" + (after < 0 ? "" : "&after=" + after));
+        request.headers().set(HttpHeaderNames.HOST, "discovery");
+        channel.writeAndFlush(request);
+    }
+
+    /** Ends it without reporting a failure. */
+    void end(String reason) {
+        logState("closed", reason);
+        ended = true;
+        if (channel.isRegistered()) {
+            channel.close();
+        }
+    }
+
+    private void fail(String reason) {
+        if (!ended) {
+            end(reason);
+            discovery.failed(this, reason);
+        }
+    }
+
+    // ---------------------------------------------------------------- what comes
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (ended) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("answer cannot be read");
+        } else if (message instanceof HttpResponse response) {
+            respondedAtUs = clock.nowUs();
+            if (response.status().code() != OK) {
+                fail("status " + response.status().code());
+            }
+        } else if (message instanceof HttpContent content) {
+            read(content.content());
+            if (message instanceof LastHttpContent) {
+                fail("watch ended");
+            }
+        }
+    }
+
+    private void read(ByteBuf bytes) {
+        if (!bytes.isReadable()) {
+            return;
+        }
+        if (firstByteAtUs == NOT_YET) {
+            firstByteAtUs = clock.nowUs();
+        }
+        List<HostList> lists = new ArrayList<>(1);
+        try {
+            for (JsonNode object : reader.read(ByteBufUtil.getBytes(bytes))) {
+                lists.add(decode(object));
+            }
+        } catch (IOException | ConfigException e) {
+            discovery.setLastListWasBad(true);
+            Log.event(LogEvent.named("list").with("action", "dropped").with("call", number));
+            fail("bad list: " + e.getMessage());
+            return;
+        }
+        if (!lists.isEmpty() || reader.isBetweenObjects()) {
+            speak(lists);
+        }
+    }
+
+    /** A bad list is dropped and asked for anew. One that stays bad must not hide all later changes. */
+    private HostList decode(JsonNode object) throws ConfigException {
+        if (!discovery.lastListWasBad()) {
+            return HostList.decode(object, discovery.zones(), "");
+        }
+        discovery.setLastListWasBad(false);
+        return HostList.decodeReadable(object, discovery.zones(), unreadable -> {
+            discovery.setLastListWasBad(true);
+            Log.event(LogEvent.named("list_entry_unreadable").with("reason", unreadable.getMessage()));
+        });
+    }
+
+    /** Lists, or a heartbeat. The head of a response is neither: a watch may come up and say nothing. */
+    private void speak(List<HostList> lists) {
+        discovery.heard(this);
+        if (firstWordAtUs == NOT_YET) {
+            firstWordAtUs = clock.nowUs();
+            logState("watching", lists.isEmpty() ? "heartbeat" : "list");
+        }
+        if (lists.isEmpty() && !hasSpoken && discovery.holdsListOf(this)) {
+            // A heartbeat as the first word says that nothing has changed: the call has its answer.
+            lists.add(new HostList(discovery.versionOrNone(), false, List.of()));
+        }
+        for (HostList list : lists) {
+            if (!ended) {
+                accept(list);
+            }
+        }
+    }
+
+    private void accept(HostList list) {
+        long held = discovery.versionOrNone();
+        boolean isUsed = discovery.accept(this, list, !hasSpoken);
+        logList(isUsed ? "taken_up" : "dropped", list, held);
+        if (isUsed) {
+            hasSpoken = true;
+        } else {
+            fail("version " + list.rev() + " comes after " + held);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail("connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.error("watch on discovery", cause);
+        }
+        fail("connection failed");
+    }
+
+    // ---------------------------------------------------------------- the log
+
+    private void logState(String state, String reason) {
+        Log.event(LogEvent.named("discovery_call")
+                .with("call", number)
+                .with("state", state)
+                .with("reason", reason)
+                .with("version", discovery.versionOrNone())
+                .with("age_us", clock.nowUs() - dialedAtUs)
+                .with("connected_us", sinceDial(connectedAtUs))
+                .with("status_us", sinceDial(respondedAtUs))
+                .with("first_byte_us", sinceDial(firstByteAtUs))
+                .with("first_word_us", sinceDial(firstWordAtUs)));
+    }
+
+    /** Microseconds from the dial on, or -1 if it has not happened. */
+    private long sinceDial(long atUs) {
+        return atUs == NOT_YET ? -1 : atUs - dialedAtUs;
+    }
+
+    private void logList(String action, HostList list, long held) {
+        if (list.hosts().isEmpty() && !list.all()) {
+            return;
+        }
+        Log.event(LogEvent.named("list")
+                .with("action", action)
+                .with("call", number)
+                .with("version", list.rev())
+                .with("held", held)
+                .with("whole", list.all())
+                .with("entries", list.hosts().size())
+                .with("leaving", list.leaving()));
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -24,6 +24,7 @@
 import kitemux.Balancer.Outcome;
 import kitemux.Balancer.Request;
 import kitemux.Balancer.Result;
+import kitemux.DiscoveryCallScheduler.Timing;
 
 /**
  * A real node: it carries what happens on the sockets to the decision module and what the module asks for
@@ -41,7 +42,7 @@
     private final ServerPool pool;
     private final ClientServer clients;
     private final Discovery discovery;
-    /** Keeps the watch open where the module is not to ask for lists; else null. */
+    /** Where lists are pushed, so that the module does not ask for them; else null. */
     private final PushedLists pushed;
 
     private final Balancer balancer;
@@ -100,24 +101,12 @@
                         });
                     }
                 });
-        Discovery.Listener lists = new Discovery.Listener() {
-            @Override
-            public void listed(HostList list) {
-                list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
-            }
-
-            @Override
-            public void failed(String reason) {
-                events.add(null, () -> balancer.onListFailed(clock.nowUs()));
-            }
-        };
-        pushed = config.settings().listOnRequest || config.discovery() == null
-                ? null
-                : new PushedLists(loop, config, lists);
+        Discovery.Listener lists = list -> list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
+        pushed = config.settings().listOnRequest || config.discovery() == null ? null : new PushedLists(loop, lists);
         discovery = new Discovery(
                 loop,
                 config,
-                DiscoveryTimeouts.of(config.settings()),
+                Timing.of(config.settings()),
                 clock,
                 pushed == null ? lists : pushed,
                 dependencies.discoveryChannels());
@@ -201,7 +190,7 @@
                     Limits.HOUSEKEEPING_MS,
                     TimeUnit.MILLISECONDS);
             if (pushed != null) {
-                pushed.keepOpen(discovery);
+                pushed.start(discovery);
             }
         });
     }
@@ -441,7 +430,8 @@
 
     @Override
     public void subscribe() {
-        discovery.subscribe();
+        // Which calls are made for that, and when, is the scheduler's word.
+        discovery.start();
     }
 
     @Override
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -19,22 +19,29 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import kitemux.Balancer.Settings;
+import kitemux.DiscoveryCallScheduler.Timing;
 
 /** The watch on the list. */
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
-    private static final DiscoveryTimeouts USUAL = DiscoveryTimeouts.of(new Settings());
-    private static final DiscoveryTimeouts SHORT = new DiscoveryTimeouts(100_000, 200_000, 50_000, 100_000);
+    private static final Timing USUAL = Timing.of(onRequest());
+    private static final Timing SHORT = new Timing(50_000, 100_000, 1_000, 1_000);
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
     private final BlockingQueue<String> reasons = new LinkedBlockingQueue<>();
 
+    private static Settings onRequest() {
+        Settings settings = new Settings();
+        settings.listOnRequest = true;
+        return settings;
+    }
+
     /** A watch alone; what it tells comes as a line. */
-    private Discovery watch(Site site, DiscoveryTimeouts timeouts, BlockingQueue<String> told) throws Exception {
+    private Discovery watch(Site site, Timing timing, BlockingQueue<String> told) throws Exception {
         Discovery discovery = new Discovery(
                 site.loop,
                 site.config(KNOWN),
-                timeouts,
+                timing,
                 new SystemClock(),
                 new Discovery.Listener() {
                     @Override
@@ -51,7 +58,7 @@
                     }
                 },
                 NioSocketChannel::new);
-        site.loop.execute(discovery::subscribe);
+        site.loop.execute(discovery::start);
         return discovery;
     }
 
@@ -71,7 +78,6 @@
             assertEquals("44 changes 1", FarServer.next(told));
             peer.socket().close();
             assertEquals("failed", FarServer.next(told));
-            site.loop.execute(discovery::subscribe);
             assertEquals(
                     "/discovery/hosts?watch=1&after=44",
                     FarServer.next(site.discovery.requests).path());
@@ -135,7 +141,6 @@
             assertEquals("43 changes 1", FarServer.next(told));
             assertEquals("43 changes 0", FarServer.next(told), "a repeat does no harm");
             assertEquals("failed", FarServer.next(told));
-            site.loop.execute(discovery::subscribe);
             assertEquals(
                     "/discovery/hosts?watch=1",
                     FarServer.next(site.discovery.requests).path());
@@ -248,18 +253,26 @@
         }
     }
 
+    /** Others begin beside a silent call, which is closed once there are too many. */
+    private static void assertIsFollowedAndClosed(Site site) throws Exception {
+        for (int call = 1; call <= 3; call++) {
+            FarServer.next(site.discovery.requests);
+        }
+        FarServer.next(site.discovery.ended);
+    }
+
     @Test
-    void aSilentWatchIsBroken() throws Exception {
+    void aSilentCallIsFollowedByOthersAndClosed() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             watch(site, SHORT, told);
-            assertEquals("failed", FarServer.next(told));
+            assertIsFollowedAndClosed(site);
             assertTrue(told.isEmpty());
         }
     }
 
     @Test
-    void aWatchThatCameUpAndSaysNothingIsBrokenHoweverMuchElseComes() throws Exception {
+    void aCallThatCameUpAndSaysNothingIsSilentHoweverMuchElseComes() throws Exception {
         try (Site site = new Site(new FarServer((request, peer) -> {
             peer.write(Site.watchHead());
             // An object without end: the connection is not silent, discovery is.
@@ -270,34 +283,40 @@
         }))) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             watch(site, SHORT, told);
-            assertEquals("failed", FarServer.next(told));
-            assertEquals("silent", FarServer.next(reasons));
+            assertIsFollowedAndClosed(site);
+            assertTrue(told.isEmpty());
         }
     }
 
     @Test
-    void theWatchIsOpenedAnewAndAnsweredBeforeASilentOneCountsAsTold() {
-        // The module's waits before the first and the second call, at the most, in a fleet of thirty; one call may
-        // fail. In a larger fleet the second wait is longer, as its discovery needs longer for all.
-        long firstWaitUs = 375_000;
-        long secondWaitUs = 1_200_000;
-        long at = USUAL.silenceTimeoutUs() + firstWaitUs;
-        long firstCallUs = USUAL.firstResponseTimeoutUs(at, 0);
-        assertTrue(at + firstCallUs < USUAL.toldUs(), "a first call that is answered late");
-        at += firstCallUs + secondWaitUs;
-        assertTrue(at < USUAL.toldUs(), "the second call is out before");
-        // A call long after the last word, or before any, waits for what discovery itself allows.
-        assertEquals(USUAL.callTimeoutUs(), USUAL.firstResponseTimeoutUs(7_000_000, 0));
-        assertEquals(USUAL.callTimeoutUs(), USUAL.firstResponseTimeoutUs(0, DiscoveryTimeouts.NEVER));
+    void aSilentWatchIsHeardUntilTheCallBesideItSpeaks() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Site site = new Site(new FarServer((request, peer) -> {
+            peer.write(Site.watchHead());
+            if (calls.getAndIncrement() == 0) {
+                peer.write(Site.chunk(Site.list(42, false, ENTRY) + "\n"));
+            }
+        }))) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            watch(site, new Timing(10_000_000, 50_000, 1_000, 1_000), told);
+            FarServer.Peer silent = FarServer.next(site.discovery.peers);
+            assertEquals("42 changes 1", FarServer.next(told));
+            FarServer.Peer beside = FarServer.next(site.discovery.peers);
+            silent.write(Site.chunk(Site.list(43, false, ENTRY) + "\n"));
+            assertEquals("43 changes 1", FarServer.next(told));
+            assertEquals(beside, FarServer.next(site.discovery.ended), "the watch has spoken again");
+            FarServer.Peer next = FarServer.next(site.discovery.peers);
+            next.write(Site.chunk(Site.list(44, false, ENTRY) + "\n"));
+            assertEquals("44 changes 1", FarServer.next(told));
+            assertEquals(silent, FarServer.next(site.discovery.ended), "a newer call has spoken");
+        }
     }
 
     @Test
     void callsFitIntoWhatTheSettingsGiveForAsking() {
-        Settings hurried = new Settings();
-        hurried.listOnRequest = true;
+        Settings hurried = onRequest();
         hurried.askWithinUs = 3_000_000;
-        DiscoveryTimeouts timeouts = DiscoveryTimeouts.of(hurried);
-        assertTrue(2 * timeouts.firstResponseTimeoutUs(0, DiscoveryTimeouts.NEVER) <= hurried.askWithinUs);
+        assertTrue(2 * Timing.of(hurried).hedgeAfterUs() <= hurried.askWithinUs);
     }
 
     @Test
@@ -326,13 +345,14 @@
             FarServer.next(site.discovery.requests);
             InetSocketAddress to = NodeConfig.address("discovery", there.endpoint());
             site.loop.execute(() -> discovery.moveTo(to));
-            FarServer.next(site.discovery.ended);
             assertEquals(
                     "/discovery/hosts?watch=1", FarServer.next(there.requests).path());
             assertEquals("7 all 1", FarServer.next(told));
+            FarServer.next(site.discovery.ended);
             // Told of the same place again the watch stays; a later call goes to the new place too.
             site.loop.execute(() -> discovery.moveTo(to));
-            site.loop.execute(discovery::subscribe);
+            FarServer.next(there.peers).reset();
+            assertEquals("failed", FarServer.next(told));
             assertEquals(
                     "/discovery/hosts?watch=1&after=7",
                     FarServer.next(there.requests).path());
