Call a crowded discovery no more than it can serve

Cause: calls beside calls and short waits crowd a discovery that is crowded already; refusing a call costs it time too. Change: a discovery that has refused the last call, or let it wait for half a second, is crowded: a call there is hedged only after 3.05 s, what discovery allows for a turn, and once 2.7 s after the last word. Waits after failures grow with the fleet up to 3 s, those after an ended watch up to 0.8 s.

--- a/src/main/java/kitemux/DiscoveryCallScheduler.java
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -9,11 +9,15 @@
  *
  * <p>A change counts as notified 6 s after discovery had it and could be reached, whatever failed before. So what
  * must be bounded is the time from any moment to the next call, not that of a single call: a call may hang for good,
- * or wait for its turn in a discovery that many call. While there is no watch, or the watch is silent, a call begins
- * at most {@link Timing#hedgeAfterUs} after the one before it, which goes on waiting beside it: ending a call that
- * waits for its turn would cost its place. The first that says something wins, and the others are closed. At most
+ * or wait for its turn in a discovery that many call. While there is no watch, or the watch is silent, another call
+ * begins beside one that has not said anything for some time, and that one goes on waiting: ending a call that waits
+ * for its turn would cost its place. The first that says something wins, and the others are closed. At most
  * {@value #MOST_PENDING} calls wait at once.
  *
+ * <p>A discovery that refuses calls, or lets them wait, is crowded, and calls beside calls would crowd it more: there
+ * a call is given the time that discovery itself allows for a turn. Refusals cost discovery time as well, so the
+ * waits behind them grow with the fleet, by which the calls of all nodes together come no faster.
+ *
  * <p>All times are microseconds of the node's monotonic clock. The class has no clock, sockets or timers of its own.
  */
 public final class DiscoveryCallScheduler {
@@ -43,18 +47,26 @@
      * The times that bind, in microseconds.
      *
      * @param hedgeAfterUs after so long without a word on a call, at most, another one begins beside it
+     * @param crowdedHedgeAfterUs the same where discovery is crowded
      * @param silenceUs after so long without a word a watch is taken for silent
      * @param longestFirstWaitUs the longest wait after a watch has ended
      * @param longestWaitUs the longest wait after a call has failed
      */
-    public record Timing(long hedgeAfterUs, long silenceUs, long longestFirstWaitUs, long longestWaitUs) {
+    public record Timing(
+            long hedgeAfterUs, long crowdedHedgeAfterUs, long silenceUs, long longestFirstWaitUs, long longestWaitUs) {
         private static final long HEDGE_AFTER_US = 2_000_000;
+        /** A little more than discovery lets a call wait for its turn, which is 3 s. */
+        private static final long CROWDED_HEDGE_AFTER_US = 3_050_000;
         /** Discovery writes every 2 s. A call too many is cheap, as the watch is kept beside it. */
         private static final long SILENCE_US = 2_500_000;
 
-        private static final long LONGEST_FIRST_WAIT_US = 375_000;
-        /** Of the longest wait, for each node: a crowded discovery serves some tens of calls a second. */
-        private static final long WAIT_PER_NODE_US = 40_000;
+        private static final long SHORTEST_SPREAD_US = 375_000;
+        private static final long LONGEST_WAIT_US = 3_000_000;
+        private static final long LONGEST_FIRST_WAIT_US = 800_000;
+        /** Of the longest waits, for each node: so all nodes together call about twenty times a second. */
+        private static final long WAIT_PER_NODE_US = 100_000;
+
+        private static final long FIRST_WAIT_PER_NODE_US = 8_000;
 
         /** What an agent that pushes lists gets counts at once: half of the grace to find it, half for its list. */
         private static final int GRACE_PARTS = 2;
@@ -65,15 +77,33 @@
         public static Timing of(Balancer.Settings settings) {
             if (!settings.listOnRequest) {
                 long wait = Math.max(1, settings.drainGraceUs / GRACE_PARTS);
-                return new Timing(PUSHED_HEDGE_AFTER_US, SILENCE_US, wait, wait);
+                return new Timing(PUSHED_HEDGE_AFTER_US, PUSHED_HEDGE_AFTER_US, SILENCE_US, wait, wait);
             }
             // Two calls fit into the time that the settings give for asking.
-            long hedge = Math.max(1, Math.min(HEDGE_AFTER_US, settings.askWithinUs / 2));
-            long spread = Math.max(LONGEST_FIRST_WAIT_US, settings.nodes * WAIT_PER_NODE_US);
-            return new Timing(hedge, SILENCE_US, Math.min(hedge, LONGEST_FIRST_WAIT_US), Math.min(hedge, spread));
+            long most = Math.max(1, settings.askWithinUs / 2);
+            return new Timing(
+                    Math.min(most, HEDGE_AFTER_US),
+                    Math.min(most, CROWDED_HEDGE_AFTER_US),
+                    SILENCE_US,
+                    Math.min(most, spread(settings.nodes, FIRST_WAIT_PER_NODE_US, LONGEST_FIRST_WAIT_US)),
+                    Math.min(most, spread(settings.nodes, WAIT_PER_NODE_US, LONGEST_WAIT_US)));
+        }
+
+        private static long spread(int nodes, long perNodeUs, long longestUs) {
+            return Math.min(longestUs, Math.max(SHORTEST_SPREAD_US, nodes * perNodeUs));
         }
     }
 
+    /** A call that says nothing for so long waits its turn: discovery is crowded. */
+    private static final long CROWDED_FROM_US = 500_000;
+    /**
+     * So long after the last word another call has to begin, crowded or not: the last moment from which one that
+     * waits its turn still has its list in time, where the word was that of a process that was still starting.
+     */
+    private static final long LAST_CALL_AFTER_US = 2_700_000;
+    /** But not so soon behind the one before. */
+    private static final long LEAST_GAP_US = 1_000_000;
+
     private final Timing timing;
     private final Jitter jitter;
     private final Calls calls;
@@ -87,6 +117,11 @@
     private long watchElsewhere = NO_CALL;
 
     private long nextCallAtUs = NEVER;
+    private long lastCallAtUs;
+    /** When discovery last said something, or the first call was made. */
+    private long lastWordAtUs;
+    /** Whether discovery has refused the last call or let it wait. */
+    private boolean crowded;
 
     public DiscoveryCallScheduler(Timing timing, Jitter jitter, Calls calls) {
         this.timing = timing;
@@ -106,6 +141,7 @@
 
     /** Makes the first call. */
     public void start(long nowUs) {
+        lastWordAtUs = nowUs;
         open(nowUs);
     }
 
@@ -117,6 +153,7 @@
             watchElsewhere = watch;
             watch = NO_CALL;
         }
+        crowded = false;
         open(nowUs);
     }
 
@@ -127,6 +164,7 @@
         }
         if (call != watch) {
             pending.remove(call);
+            crowded = nowUs - lastCallAtUs > CROWDED_FROM_US;
             if (watch != NO_CALL) {
                 calls.close(watch, "a newer call has spoken");
             }
@@ -134,11 +172,17 @@
             closeElsewhere();
         }
         closePending("the watch has spoken");
+        lastWordAtUs = nowUs;
         nextCallAtUs = nowUs + timing.silenceUs;
     }
 
-    /** A call has failed, or a watch has ended. */
-    public void failed(long nowUs, long call) {
+    /**
+     * A call has failed, or a watch has ended.
+     *
+     * @param refused whether discovery was there and refused it
+     */
+    public void failed(long nowUs, long call, boolean refused) {
+        crowded |= refused;
         if (call == watchElsewhere) {
             watchElsewhere = NO_CALL;
         } else if (call == watch) {
@@ -173,10 +217,20 @@
         }
         long call = ++lastCall;
         pending.add(call);
-        nextCallAtUs = nowUs + jitter.between(timing.hedgeAfterUs * 3 / 4, timing.hedgeAfterUs);
+        lastCallAtUs = nowUs;
+        nextCallAtUs = hedgeAtUs(nowUs);
         calls.open(call);
     }
 
+    private long hedgeAtUs(long nowUs) {
+        if (!crowded) {
+            return nowUs + jitter.between(timing.hedgeAfterUs * 3 / 4, timing.hedgeAfterUs);
+        }
+        long atUs = nowUs + timing.crowdedHedgeAfterUs;
+        long lastCallUs = lastWordAtUs + LAST_CALL_AFTER_US;
+        return lastCallUs <= nowUs ? atUs : Math.min(atUs, Math.max(lastCallUs, nowUs + LEAST_GAP_US));
+    }
+
     private void closePending(String reason) {
         for (Iterator<Long> each = pending.iterator(); each.hasNext(); ) {
             calls.close(each.next(), reason);
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -168,9 +168,9 @@
     }
 
     /** A call has ended by itself. */
-    void failed(DiscoveryCall call, String reason) {
+    void failed(DiscoveryCall call, String reason, boolean refused) {
         calls.remove(call.number());
-        scheduler.failed(clock.nowUs(), call.number());
+        scheduler.failed(clock.nowUs(), call.number(), refused);
         scheduleWake();
         listener.failed(reason);
     }
