Spread a large fleet's calls to discovery, and keep reading a half-written configuration

Change: a fleet of over thirty spreads its first calls over 20 ms a node and hedges no sooner than discovery's own limit; whether discovery is crowded is taken from each call's own wait. Three calls may wait at once, so that none is closed that may still have its turn. Also: the line 'listening on' is no longer subject to the log's limit.

--- a/src/main/java/kitemux/DiscoveryCallScheduler.java
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -1,7 +1,7 @@
 package kitemux;
 
-import java.util.ArrayDeque;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 
 /**
  * Decides when a node calls discovery and which of its calls it keeps. A call asks for all changes since the last
@@ -24,8 +24,8 @@
     /** {@link #wakeAtUs} where nothing is to be done until something is reported. */
     public static final long NEVER = Long.MAX_VALUE;
 
-    /** Calls that wait for their first word at the same time. */
-    private static final int MOST_PENDING = 2;
+    /** Calls that wait for their first word at the same time: so none is closed that may still have its turn. */
+    private static final int MOST_PENDING = 3;
 
     private static final long NO_CALL = -1;
 
@@ -49,24 +49,38 @@
      * @param hedgeAfterUs after so long without a word on a call, at most, another one begins beside it
      * @param crowdedHedgeAfterUs the same where discovery is crowded
      * @param silenceUs after so long without a word a watch is taken for silent
+     * @param longestStartUs the longest wait before the first call
      * @param longestFirstWaitUs the longest wait after a watch has ended
      * @param longestWaitUs the longest wait after a call has failed
      */
     public record Timing(
-            long hedgeAfterUs, long crowdedHedgeAfterUs, long silenceUs, long longestFirstWaitUs, long longestWaitUs) {
-        private static final long HEDGE_AFTER_US = 2_000_000;
+            long hedgeAfterUs,
+            long crowdedHedgeAfterUs,
+            long silenceUs,
+            long longestStartUs,
+            long longestFirstWaitUs,
+            long longestWaitUs) {
+        private static final long LEAST_HEDGE_AFTER_US = 1_600_000;
+        /** For each node: a fleet whose calls wait together must not double them before they are served. */
+        private static final long HEDGE_PER_NODE_US = 20_000;
         /** A little more than discovery lets a call wait for its turn, which is 3 s. */
         private static final long CROWDED_HEDGE_AFTER_US = 3_050_000;
         /** Discovery writes every 2 s. A call too many is cheap, as the watch is kept beside it. */
         private static final long SILENCE_US = 2_500_000;
 
         private static final long SHORTEST_SPREAD_US = 375_000;
-        private static final long LONGEST_WAIT_US = 3_000_000;
+        private static final long LONGEST_WAIT_US = 3_300_000;
         private static final long LONGEST_FIRST_WAIT_US = 800_000;
         /** Of the longest waits, for each node: so all nodes together call about twenty times a second. */
         private static final long WAIT_PER_NODE_US = 100_000;
 
         private static final long FIRST_WAIT_PER_NODE_US = 8_000;
+        /** Nodes that are started together: more calls than are served in time cost a discovery as many turns. */
+        private static final long START_PER_NODE_US = 20_000;
+        /** Up to this size the start is not spread: so many calls at once are served in time. */
+        private static final int START_TOGETHER = 30;
+
+        private static final long LONGEST_START_US = 2_000_000;
 
         /** What an agent that pushes lists gets counts at once: half of the grace to find it, half for its list. */
         private static final int GRACE_PARTS = 2;
@@ -77,23 +91,37 @@
         public static Timing of(Balancer.Settings settings) {
             if (!settings.listOnRequest) {
                 long wait = Math.max(1, settings.drainGraceUs / GRACE_PARTS);
-                return new Timing(PUSHED_HEDGE_AFTER_US, PUSHED_HEDGE_AFTER_US, SILENCE_US, wait, wait);
+                return new Timing(PUSHED_HEDGE_AFTER_US, PUSHED_HEDGE_AFTER_US, SILENCE_US, 0, wait, wait);
             }
             // Two calls fit into the time that the settings give for asking.
             long most = Math.max(1, settings.askWithinUs / 2);
             return new Timing(
-                    Math.min(most, HEDGE_AFTER_US),
+                    Math.min(most, hedgeAfterUs(settings.nodes)),
                     Math.min(most, CROWDED_HEDGE_AFTER_US),
                     SILENCE_US,
+                    settings.nodes <= START_TOGETHER
+                            ? 0
+                            : Math.min(most, Math.min(LONGEST_START_US, settings.nodes * START_PER_NODE_US)),
                     Math.min(most, spread(settings.nodes, FIRST_WAIT_PER_NODE_US, LONGEST_FIRST_WAIT_US)),
                     Math.min(most, spread(settings.nodes, WAIT_PER_NODE_US, LONGEST_WAIT_US)));
         }
 
+        /** Whether a call more of every node at once would be more than a discovery serves in time. */
+        boolean isForLargeFleet() {
+            return longestStartUs > 0;
+        }
+
+        private static long hedgeAfterUs(int nodes) {
+            return Math.min(CROWDED_HEDGE_AFTER_US, LEAST_HEDGE_AFTER_US + nodes * HEDGE_PER_NODE_US);
+        }
+
         private static long spread(int nodes, long perNodeUs, long longestUs) {
             return Math.min(longestUs, Math.max(SHORTEST_SPREAD_US, nodes * perNodeUs));
         }
     }
 
+    private static final long SHORTEST_WAIT_US = 100_000;
+
     /** A call that says nothing for so long waits its turn: discovery is crowded. */
     private static final long CROWDED_FROM_US = 500_000;
     /**
@@ -108,8 +136,8 @@
     private final Jitter jitter;
     private final Calls calls;
 
-    /** Calls that have not said anything yet, the oldest first. */
-    private final ArrayDeque<Long> pending = new ArrayDeque<>();
+    /** Calls that have not said anything yet, the oldest first, with the times at which they began. */
+    private final LinkedHashMap<Long, Long> pending = new LinkedHashMap<>();
 
     private long lastCall;
     private long watch = NO_CALL;
@@ -117,7 +145,6 @@
     private long watchElsewhere = NO_CALL;
 
     private long nextCallAtUs = NEVER;
-    private long lastCallAtUs;
     /** When discovery last said something, or the first call was made. */
     private long lastWordAtUs;
     /** Whether discovery has refused the last call or let it wait. */
@@ -139,10 +166,11 @@
         return watch != NO_CALL || !pending.isEmpty();
     }
 
-    /** Makes the first call. */
+    /** Makes the first call, at once or soon. */
     public void start(long nowUs) {
         lastWordAtUs = nowUs;
-        open(nowUs);
+        nextCallAtUs = nowUs + jitter.between(0, timing.longestStartUs);
+        wake(nowUs);
     }
 
     /** Discovery is elsewhere from now on. The old watch is heard until the new place says something. */
@@ -163,8 +191,8 @@
             return;
         }
         if (call != watch) {
-            pending.remove(call);
-            crowded = nowUs - lastCallAtUs > CROWDED_FROM_US;
+            Long beganAtUs = pending.remove(call);
+            crowded = beganAtUs == null || nowUs - beganAtUs > CROWDED_FROM_US;
             if (watch != NO_CALL) {
                 calls.close(watch, "a newer call has spoken");
             }
@@ -190,7 +218,7 @@
             if (pending.isEmpty()) {
                 callWithin(nowUs, timing.longestFirstWaitUs);
             }
-        } else if (pending.remove(call) && pending.isEmpty()) {
+        } else if (pending.remove(call) != null && pending.isEmpty()) {
             callWithin(nowUs, timing.longestWaitUs);
         }
     }
@@ -206,36 +234,35 @@
         nextCallAtUs = Math.min(nextCallAtUs, nowUs + jitter.between(shortest(longestUs), longestUs));
     }
 
-    /** A third of the longest wait, at least; calls that fail together must not come together again. */
+    /** Calls that fail together must not come together again: waits are spread over all of their range. */
     private static long shortest(long longestUs) {
-        return Math.max(1, longestUs / 3);
+        return Math.min(longestUs, SHORTEST_WAIT_US);
     }
 
     private void open(long nowUs) {
         if (pending.size() == MOST_PENDING) {
-            calls.close(pending.poll(), "silent");
+            long oldest = pending.keySet().iterator().next();
+            pending.remove(oldest);
+            calls.close(oldest, "silent");
         }
         long call = ++lastCall;
-        pending.add(call);
-        lastCallAtUs = nowUs;
+        pending.put(call, nowUs);
         nextCallAtUs = hedgeAtUs(nowUs);
         calls.open(call);
     }
 
     private long hedgeAtUs(long nowUs) {
-        if (!crowded) {
-            return nowUs + jitter.between(timing.hedgeAfterUs * 3 / 4, timing.hedgeAfterUs);
-        }
-        long atUs = nowUs + timing.crowdedHedgeAfterUs;
+        long hedgeUs =
+                crowded ? timing.crowdedHedgeAfterUs : jitter.between(timing.hedgeAfterUs * 3 / 4, timing.hedgeAfterUs);
         long lastCallUs = lastWordAtUs + LAST_CALL_AFTER_US;
-        return lastCallUs <= nowUs ? atUs : Math.min(atUs, Math.max(lastCallUs, nowUs + LEAST_GAP_US));
+        boolean mayHurry = lastCallUs > nowUs && !timing.isForLargeFleet();
+        return mayHurry ? Math.min(nowUs + hedgeUs, Math.max(lastCallUs, nowUs + LEAST_GAP_US)) : nowUs + hedgeUs;
     }
 
     private void closePending(String reason) {
-        for (Iterator<Long> each = pending.iterator(); each.hasNext(); ) {
-            calls.close(each.next(), reason);
-            each.remove();
-        }
+        List<Long> waiting = List.copyOf(pending.keySet());
+        pending.clear();
+        waiting.forEach(call -> calls.close(call, reason));
     }
 
     private void closeElsewhere() {
--- a/src/main/java/kitemux/node/Log.java
+++ b/src/main/java/kitemux/node/Log.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Writes a line that comes once in a process's life and is waited for, whatever else was written just then. */
+    static void milestone(String text) {
+        enqueue(text);
+    }
+
     /** Writes a line about the node's state. */
     static void event(LogEvent event) {
         line(event.toString());
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -129,7 +129,7 @@
         logStart(config);
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
-        Reload.onHangUp(env, node);
+        Reload.onHangUp(env, node, loop);
         // Before it listens: a node that was told to end just then would end with what it has taken.
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
@@ -152,7 +152,7 @@
                     + listening.cause().getMessage());
             System.exit(2);
         }
-        Log.line("listening on " + config.listen());
+        Log.milestone("listening on " + config.listen());
     }
 
     private static void logStart(NodeConfig config) {
--- a/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
+++ b/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
@@ -30,8 +30,8 @@
     private static final long QUEUE_US = 3_000_000;
 
     private static final int DEPTH = 6;
-    /** The watch, one elsewhere, and two calls that wait. */
-    private static final int MOST_OPEN = 4;
+    /** The watch, one elsewhere, and three calls that wait. */
+    private static final int MOST_OPEN = 5;
 
     /** What a call may meet. */
     private enum Meets {
@@ -204,8 +204,9 @@
 
     @Test
     void aClientThatWaitsOutEachCallWouldFailTheWalk() {
-        Timing oneAfterAnother = new Timing(4_000_000, 4_000_000, 3_000_000, 375_000, 3_700_000);
-        long afterUs = new VirtualDiscovery(oneAfterAnother, LONGEST, Meets.HANGS).servedAfterUs();
+        // Calls of 4 s and waits of 3.7 s, one after another, with nothing that is due after the last word.
+        Timing oneAfterAnother = new Timing(4_000_000, 4_000_000, 3_000_000, 0, 375_000, 3_700_000);
+        long afterUs = new VirtualDiscovery(oneAfterAnother, LONGEST, Meets.FAILS_LATER, Meets.HANGS).servedAfterUs();
         assertTrue(afterUs > NOTIFIED_US, afterUs + " us");
     }
 
--- a/src/test/java/kitemux/fault/DrainNotificationTest.java
+++ b/src/test/java/kitemux/fault/DrainNotificationTest.java
@@ -1,6 +1,7 @@
 package kitemux.fault;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,12 +28,21 @@
             new DrainScenario("two calls hang", 4, List.of(Fault.SILENT, Fault.SILENT), 0),
             new DrainScenario("a refused, a hanging call", 17, List.of(Fault.BUSY, Fault.SILENT, Fault.QUEUED), 0),
             new DrainScenario("two refused, one waits", 17, List.of(Fault.BUSY, Fault.BUSY, Fault.QUEUED), 0),
-            new DrainScenario("large fleet", 120, List.of(Fault.SILENT, Fault.RESET, Fault.BUSY_LATE), 0),
             new DrainScenario("heads only", 5, List.of(Fault.HEAD_ONLY, Fault.HEAD_ONLY), 0),
             new DrainScenario("ends at change", 6, List.of(Fault.ENDS_AT_CHANGE, Fault.SILENT, Fault.QUEUED), 500),
             new DrainScenario("falls silent", 6, List.of(Fault.FALLS_SILENT, Fault.SILENT), 500),
             new DrainScenario("a list cut short", 6, List.of(Fault.CUT_SHORT, Fault.SILENT, Fault.OMITS_LEAVING), 0));
 
+    private static final DrainScenario LARGE_FLEET =
+            new DrainScenario("large fleet", 120, List.of(Fault.SILENT, Fault.RESET, Fault.BUSY_LATE), 0);
+
+    @Test
+    @Timeout(60)
+    void nothingIsSentToADrainingServerAfterTheGraceInALargeFleet(@TempDir Path folder) throws Exception {
+        Outcome outcome = LARGE_FLEET.play(folder);
+        assertTrue(outcome.isKept(), outcome.toString());
+    }
+
     @Test
     @Timeout(120)
     void nothingIsSentToADrainingServerAfterTheGraceWhateverCallsMeet(@TempDir Path folder) throws Exception {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -25,7 +25,7 @@
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
     private static final Timing USUAL = Timing.of(onRequest());
-    private static final Timing SHORT = new Timing(50_000, 50_000, 100_000, 1_000, 1_000);
+    private static final Timing SHORT = new Timing(50_000, 50_000, 100_000, 0, 1_000, 1_000);
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
     private final BlockingQueue<String> reasons = new LinkedBlockingQueue<>();
@@ -255,7 +255,7 @@
 
     /** Others begin beside a silent call, which is closed once there are too many. */
     private static void assertIsFollowedAndClosed(Site site) throws Exception {
-        for (int call = 1; call <= 3; call++) {
+        for (int call = 1; call <= 4; call++) {
             FarServer.next(site.discovery.requests);
         }
         FarServer.next(site.discovery.ended);
@@ -298,7 +298,7 @@
             }
         }))) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, new Timing(10_000_000, 10_000_000, 50_000, 1_000, 1_000), told);
+            watch(site, new Timing(10_000_000, 10_000_000, 50_000, 0, 1_000, 1_000), told);
             FarServer.Peer silent = FarServer.next(site.discovery.peers);
             assertEquals("42 changes 1", FarServer.next(told));
             FarServer.Peer beside = FarServer.next(site.discovery.peers);
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -17,6 +17,7 @@
 import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -113,13 +114,18 @@
     }
 
     private static void awaitLine(BufferedReader lines, String part) {
-        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
-            String line = lines.readLine();
-            while (line != null && !line.contains(part)) {
-                line = lines.readLine();
-            }
-            assertNotNull(line, "no line says " + part);
-        });
+        List<String> read = Collections.synchronizedList(new ArrayList<>());
+        assertTimeoutPreemptively(
+                Duration.ofSeconds(20),
+                () -> {
+                    String line = lines.readLine();
+                    while (line != null && !line.contains(part)) {
+                        read.add(line);
+                        line = lines.readLine();
+                    }
+                    assertNotNull(line, () -> "no line says " + part + " but " + read);
+                },
+                () -> "no line says " + part + " but " + read);
     }
 
     private static void hangUp(Process process) throws Exception {
@@ -250,4 +256,26 @@
             }
         }
     }
+
+    @Test
+    @Timeout(60)
+    void aFileThatIsHalfWrittenAtSighupIsReadAgainWithoutAnotherSignal(@TempDir Path folder) throws Exception {
+        FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
+        try (FarServer before = new FarServer(watch);
+                FarServer after = new FarServer(watch)) {
+            Path config = configure(folder, before.endpoint());
+            Process process = program(config, before.endpoint());
+            try {
+                BufferedReader lines = process.inputReader();
+                FarServer.next(before.requests);
+                Files.writeString(config, "{\"listen\":");
+                hangUp(process);
+                awaitLine(lines, "PROXY_CONFIG is not JSON");
+                configure(folder, after.endpoint());
+                FarServer.next(after.requests);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
 }
