--- a/src/test/java/kitemux/fault/DrainNotificationTest.java
+++ b/src/test/java/kitemux/fault/DrainNotificationTest.java
@@ -3,14 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -21,8 +15,6 @@
 
 /** Processes whose calls to discovery fail while a server drains: none may send to it after the grace. */
 class DrainNotificationTest {
-    private static final int AT_ONCE = 4;
-
     /** Calls that hang, are refused, wait their turn, or end instead of telling, as in the records of incident-1. */
     private static final List<DrainScenario> SCENARIOS = List.of(
             new DrainScenario("two calls hang", 4, List.of(Fault.SILENT, Fault.SILENT), 0),
@@ -46,22 +38,6 @@
     @Test
     @Timeout(120)
     void nothingIsSentToADrainingServerAfterTheGraceWhateverCallsMeet(@TempDir Path folder) throws Exception {
-        ExecutorService players = Executors.newFixedThreadPool(AT_ONCE);
-        try {
-            List<Callable<Outcome>> plays = new ArrayList<>();
-            for (DrainScenario scenario : SCENARIOS) {
-                Path own = Files.createDirectory(folder.resolve("s" + plays.size()));
-                plays.add(() -> scenario.play(own));
-            }
-            List<Outcome> broken = new ArrayList<>();
-            for (Future<Outcome> play : players.invokeAll(plays)) {
-                if (!play.get().isKept()) {
-                    broken.add(play.get());
-                }
-            }
-            assertEquals(List.of(), broken);
-        } finally {
-            players.shutdownNow();
-        }
+        assertEquals(List.of(), DrainScenario.playAll(SCENARIOS, folder));
     }
 }
--- a/src/test/java/kitemux/fault/DrainOracle.java
+++ b/src/test/java/kitemux/fault/DrainOracle.java
@@ -10,12 +10,13 @@
 
 /**
  * Judges the rule {@code drain} from what the stand-ins have recorded, by the terms of the protocol: a change counts
- * as notified when discovery has written it whole, or 6 s after discovery had it and could be reached, whichever is
- * first; 0.5 s after that, and 50 ms of slack, nothing new may reach the server. Times are nanoseconds of the
+ * as notified when discovery has written it whole, 6 s after discovery had it and could be reached, or 4 s after a
+ * SIGHUP that moved discovery, whichever is first; 0.5 s after that, and 50 ms of slack, nothing new may reach the server. Times are nanoseconds of the
  * monotonic clock.
  */
 final class DrainOracle {
     private static final long NOTIFIED_NANOS = 6_000_000_000L;
+    private static final long NOTIFIED_AFTER_SIGNAL_NANOS = 4_000_000_000L;
     private static final long GRACE_NANOS = 500_000_000L;
     private static final long SLACK_NANOS = 50_000_000L;
 
@@ -28,13 +29,21 @@
         }
     }
 
+    /** Of a signal that has not come. */
+    static final long NO_SIGNAL = Long.MAX_VALUE;
+
     private final long reachableFromNanos;
+    private final long signalNanos;
     private final List<Change> changes;
     private final List<Written> written;
 
-    /** For one node, whose discovery could be reached from this moment on without a pause. */
-    DrainOracle(long reachableFromNanos, List<Change> changes, List<Written> written) {
+    /**
+     * For one node, whose discovery could be reached from a moment on without a pause, and which was told by SIGHUP at
+     * another, or at {@link #NO_SIGNAL}, that discovery has moved.
+     */
+    DrainOracle(long reachableFromNanos, long signalNanos, List<Change> changes, List<Written> written) {
         this.reachableFromNanos = reachableFromNanos;
+        this.signalNanos = signalNanos;
         this.changes = changes;
         this.written = written;
     }
@@ -43,10 +52,14 @@
     long notifiedAtNanos(int version) {
         long hadNanos = changes.get(version - 1).atNanos();
         long atLatest = Math.max(hadNanos, reachableFromNanos) + NOTIFIED_NANOS;
+        if (signalNanos != NO_SIGNAL) {
+            atLatest = Math.min(atLatest, Math.max(hadNanos, signalNanos) + NOTIFIED_AFTER_SIGNAL_NANOS);
+        }
+        long notLater = atLatest;
         return written.stream()
                 .filter(each -> each.version() >= version)
                 .mapToLong(Written::atNanos)
-                .reduce(atLatest, Math::min);
+                .reduce(notLater, Math::min);
     }
 
     /** All requests of this node that reached a server later than allowed. */
--- a/src/test/java/kitemux/fault/DrainOracleTest.java
+++ b/src/test/java/kitemux/fault/DrainOracleTest.java
@@ -22,7 +22,7 @@
         for (long at : arrivalsMs) {
             arrivals.add(new Arrival("s", "r" + at, at * MS));
         }
-        return new DrainOracle(reachableMs * MS, changes, written)
+        return new DrainOracle(reachableMs * MS, DrainOracle.NO_SIGNAL, changes, written)
                 .judge(arrivals)
                 .size();
     }
@@ -56,6 +56,14 @@
     @Test
     void otherServersAreNotJudgedByIt() {
         Arrival other = new Arrival("t", "r", 60_000 * MS);
-        assertEquals(List.of(), new DrainOracle(0, DRAIN_AT_1_S, List.of()).judge(List.of(other)));
+        assertEquals(
+                List.of(), new DrainOracle(0, DrainOracle.NO_SIGNAL, DRAIN_AT_1_S, List.of()).judge(List.of(other)));
+    }
+
+    @Test
+    void fourSecondsAfterASignalThatMovesDiscoveryAllCounts() {
+        DrainOracle oracle = new DrainOracle(0, 2_000 * MS, DRAIN_AT_1_S, List.of());
+        assertEquals(0, oracle.judge(List.of(new Arrival("s", "r", 6_549 * MS))).size());
+        assertEquals(1, oracle.judge(List.of(new Arrival("s", "r", 6_551 * MS))).size());
     }
 }
--- a/src/test/java/kitemux/fault/DrainScenario.java
+++ b/src/test/java/kitemux/fault/DrainScenario.java
@@ -1,10 +1,16 @@
 package kitemux.fault;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 import kitemux.fault.DiscoveryStandIn.Fault;
+import kitemux.fault.DiscoveryStandIn.Written;
 import kitemux.fault.DrainOracle.Violation;
 import kitemux.fault.ServerListHistory.State;
 
@@ -16,8 +22,22 @@
  * @param nodes the size of the fleet that the settings tell
  * @param faults what the first calls meet
  * @param drainAfterMs when the drain is made: 0 for before the node starts, else so long after it listens
+ * @param move a new address of discovery by SIGHUP, or null
  */
-record DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs) {
+record DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs, Move move) {
+    /**
+     * A move of discovery, told by SIGHUP.
+     *
+     * @param afterMs so long after the node listens
+     * @param fault what the first call to the new address meets
+     */
+    record Move(long afterMs, Fault fault) {}
+
+    DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs) {
+        this(name, nodes, faults, drainAfterMs, null);
+    }
+
+    private static final int AT_ONCE = 4;
     private static final int CLIENTS = 3;
     /** Until after the drain the node may send no more, and some more to see that. */
     private static final long WATCHED_MS = 8_000;
@@ -48,13 +68,39 @@
         return call < faults.size() ? faults.get(call) : Fault.NONE;
     }
 
+    private Fault faultElsewhere(int call) {
+        return call == 0 && move != null ? move.fault() : Fault.NONE;
+    }
+
+    /** Plays all of them, some at a time, and gives those that break the rule or in which nothing was served. */
+    static List<Outcome> playAll(List<DrainScenario> scenarios, Path folder) throws Exception {
+        ExecutorService players = Executors.newFixedThreadPool(AT_ONCE);
+        try {
+            List<Callable<Outcome>> plays = new ArrayList<>();
+            for (DrainScenario scenario : scenarios) {
+                Path own = Files.createDirectory(folder.resolve("s" + plays.size()));
+                plays.add(() -> scenario.play(own));
+            }
+            List<Outcome> broken = new ArrayList<>();
+            for (Future<Outcome> play : players.invokeAll(plays)) {
+                if (!play.get().isKept()) {
+                    broken.add(play.get());
+                }
+            }
+            return broken;
+        } finally {
+            players.shutdownNow();
+        }
+    }
+
     /** Plays it on a process of its own. */
     Outcome play(Path folder) throws Exception {
         ServerListHistory history = new ServerListHistory();
         List<ClientLoop> clients = new ArrayList<>();
         try (AppServerStandIn leaving = new AppServerStandIn(LEAVING);
                 AppServerStandIn staying = new AppServerStandIn(STAYING);
-                DiscoveryStandIn discovery = new DiscoveryStandIn(history, this::fault)) {
+                DiscoveryStandIn discovery = new DiscoveryStandIn(history, this::fault);
+                DiscoveryStandIn elsewhere = new DiscoveryStandIn(history, this::faultElsewhere)) {
             history.add(LEAVING, leaving.endpoint());
             history.add(STAYING, staying.endpoint());
             String known = history.whole(0, true);
@@ -67,16 +113,42 @@
                 for (int i = 0; i < CLIENTS; i++) {
                     clients.add(new ClientLoop("c" + i, node.address()));
                 }
+                long signalNanos = DrainOracle.NO_SIGNAL;
+                long listeningMs = System.currentTimeMillis();
+                if (move != null && move.afterMs <= drainAfterMs) {
+                    signalNanos = moveAfter(listeningMs, node, discovery, elsewhere);
+                }
                 if (drainAfterMs > 0) {
-                    Thread.sleep(drainAfterMs);
+                    sleepUntil(listeningMs + drainAfterMs);
                     history.change(LEAVING, State.DRAINING);
                 }
+                if (move != null && signalNanos == DrainOracle.NO_SIGNAL) {
+                    signalNanos = moveAfter(listeningMs, node, discovery, elsewhere);
+                }
                 Thread.sleep(WATCHED_MS);
                 clients.forEach(ClientLoop::close);
+                List<Written> written = new ArrayList<>(discovery.written());
+                written.addAll(elsewhere.written());
                 List<Violation> violations =
-                        new DrainOracle(startNanos, history.changes(), discovery.written()).judge(leaving.arrivals());
-                return new Outcome(this, violations, staying.arrivals().size(), discovery.calls(), node.log());
+                        new DrainOracle(startNanos, signalNanos, history.changes(), written).judge(leaving.arrivals());
+                int calls = discovery.calls() + elsewhere.calls();
+                return new Outcome(this, violations, staying.arrivals().size(), calls, node.log());
             }
         }
     }
+
+    /** Moves discovery: the old address takes no more calls, and ends its watches. */
+    private long moveAfter(long listeningMs, NodeProcess node, DiscoveryStandIn from, DiscoveryStandIn to)
+            throws Exception {
+        sleepUntil(listeningMs + move.afterMs);
+        node.configure(to.endpoint());
+        long signalNanos = System.nanoTime();
+        node.signal("HUP");
+        from.close();
+        return signalNanos;
+    }
+
+    private static void sleepUntil(long atMs) throws InterruptedException {
+        Thread.sleep(Math.max(0, atMs - System.currentTimeMillis()));
+    }
 }
