--- a/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
+++ b/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
@@ -212,7 +212,11 @@
 
     /** Records what is asked for, as text. */
     private static DiscoveryCallScheduler recording(List<String> asked) {
-        return new DiscoveryCallScheduler(timing(20), LONGEST, new DiscoveryCallScheduler.Calls() {
+        return recording(20, asked);
+    }
+
+    private static DiscoveryCallScheduler recording(int nodes, List<String> asked) {
+        return new DiscoveryCallScheduler(timing(nodes), LONGEST, new DiscoveryCallScheduler.Calls() {
             @Override
             public void open(long call) {
                 asked.add("open " + call);
@@ -260,4 +264,33 @@
         scheduler.heard(400_000, 3);
         assertEquals(List.of("open 1", "open 2", "close 2", "open 3", "close 1"), asked);
     }
+
+    @Test
+    void aLargeFleetSpreadsItsFirstCallsAndLetsThemWaitAsLongAsDiscoveryDoes() {
+        List<String> asked = new ArrayList<>();
+        DiscoveryCallScheduler scheduler = recording(100, asked);
+        scheduler.start(0);
+        assertEquals(List.of(), asked);
+        long firstCallUs = scheduler.wakeAtUs();
+        assertEquals(2_000_000, firstCallUs);
+        scheduler.wake(firstCallUs);
+        assertTrue(scheduler.wakeAtUs() >= firstCallUs + QUEUE_US, "no call beside one that may have its turn");
+    }
+
+    @Test
+    void aCallThatHasWaitedTellsThatDiscoveryIsCrowdedAndAQuickOneThatItIsNot() {
+        List<String> asked = new ArrayList<>();
+        DiscoveryCallScheduler scheduler = recording(asked);
+        scheduler.start(0);
+        scheduler.heard(1_900_000, 1);
+        scheduler.failed(1_950_000, 1, false);
+        long secondCallUs = scheduler.wakeAtUs();
+        scheduler.wake(secondCallUs);
+        long crowdedGapUs = scheduler.wakeAtUs() - secondCallUs;
+        scheduler.heard(secondCallUs + 10_000, 2);
+        scheduler.failed(secondCallUs + 20_000, 2, false);
+        long thirdCallUs = scheduler.wakeAtUs();
+        scheduler.wake(thirdCallUs);
+        assertTrue(crowdedGapUs > scheduler.wakeAtUs() - thirdCallUs, crowdedGapUs + " us");
+    }
 }
