Fault matrix: go on once a server's reset is sent, not once it is asked for

Cause, by reading: where a thread is blocked in a read, closing the socket does not send the reset until that thread has returned; beside load the stalled write went on before it, the request was whole, and as it may have run its failure was right. The check is as it was; the test waits for the reader's end.

--- a/src/test/java/kitemux/node/FaultMatrixTest.java
+++ b/src/test/java/kitemux/node/FaultMatrixTest.java
@@ -294,7 +294,7 @@
             awaitList();
             switch (fault) {
                 case SERVER_ENDS -> FarServer.next(carriersOf()).socket().shutdownOutput();
-                case SERVER_RESETS -> FarServer.next(carriersOf()).reset();
+                case SERVER_RESETS -> resetCarrier();
                 case CLIENT_CLOSES, CLIENT_RESETS -> injectIfOfClient();
                 default -> injectIfOfList();
             }
@@ -304,6 +304,16 @@
             begin();
         }
 
+        private void resetCarrier() throws Exception {
+            FarServer.next(carriersOf()).reset();
+            boolean isBeingRead = point == Point.HALF_WRITTEN || point == Point.ANSWERED;
+            if (isBeingRead) {
+                // A thread that is blocked in a read keeps the socket open until it has returned: only then is the
+                // reset sent.
+                FarServer.next(first.ended);
+            }
+        }
+
         private void awaitNoticed() throws Exception {
             if (fault.isOfClient()) {
                 site.awaitCounts(counts -> counts.clients() == 0);
