Try to open the listener again where no descriptor can be had at first

Symptom: NodeTest's node with 80 descriptors never wrote 'listening on' in three of ten plays. Evidence, from the lines that the test now tells: ClassCastException of FailedChannel to ClientListener, behind 'Too many open files'. Cause: the cast in ClientServer.listen threw before the promise was told, so the node neither listened nor ended (class: a failure path that leaves a promise open). Change: a failed attempt is made again every 50 ms for 2 s, then the start fails.

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -95,7 +95,10 @@
                     }
                 })
                 .bind(address);
-        listening = (ClientListener) opening.channel();
+        // Where no descriptor could be had, the channel of the failed future is none of ours.
+        if (opening.channel() instanceof ClientListener listener) {
+            listening = listener;
+        }
         return opening;
     }
 
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -35,6 +35,10 @@
     static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
 
     private static final byte[] NO_BODY = {};
+    /** Attempts to open the listener, for two seconds in all, and the time between two of them. */
+    private static final int MOST_LISTEN_ATTEMPTS = 40;
+
+    private static final long LISTEN_RETRY_MS = 50;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -200,15 +204,16 @@
         Promise<SocketAddress> listening = loop.newPromise();
         loop.execute(() -> {
             if (pushed == null) {
-                listen(listening);
+                listen(listening, MOST_LISTEN_ATTEMPTS);
             } else {
-                pushed.afterFirst(() -> listen(listening));
+                pushed.afterFirst(() -> listen(listening, MOST_LISTEN_ATTEMPTS));
             }
         });
         return listening;
     }
 
-    private void listen(Promise<SocketAddress> listening) {
+    /** Descriptors of the warm-up come free a moment later, and so may an address that a predecessor held. */
+    private void listen(Promise<SocketAddress> listening, int attemptsLeft) {
         if (clients.isDraining()) {
             listening.setFailure(new IllegalStateException("told to end before"));
             return;
@@ -216,6 +221,8 @@
         clients.listen(config.listen()).addListener((ChannelFuture opened) -> {
             if (opened.isSuccess()) {
                 listening.setSuccess(opened.channel().localAddress());
+            } else if (attemptsLeft > 1) {
+                loop.schedule(() -> listen(listening, attemptsLeft - 1), LISTEN_RETRY_MS, TimeUnit.MILLISECONDS);
             } else {
                 listening.setFailure(opened.cause());
             }
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -21,6 +21,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.ChannelException;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -278,4 +281,22 @@
             }
         }
     }
+
+    @Test
+    @Timeout(60)
+    void aListenerForWhichThereIsNoDescriptorAtFirstIsOpenedOnceThereIsOne() throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
+            site.listeners = () -> {
+                if (attempts.getAndIncrement() < 2) {
+                    throw new ChannelException("Failed to open a socket, for the test");
+                }
+                return new ClientListener();
+            };
+            site.start(server);
+            assertEquals(200, site.ask(Http.page("t")).status());
+            assertEquals(3, attempts.get());
+        }
+    }
 }
