--- a/src/main/java/kitemux/DiscoveryCallScheduler.java
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -161,11 +161,6 @@
         return nextCallAtUs;
     }
 
-    /** Whether a call is open, with or without a word. */
-    public boolean isOpen() {
-        return watch != NO_CALL || !pending.isEmpty();
-    }
-
     /** Makes the first call, at once or soon. */
     public void start(long nowUs) {
         lastWordAtUs = nowUs;
