Read the configuration again on the signal's own thread, not on the event loop

Cause: the attempts after a file that cannot be used were scheduled on the event loop, where they read the file and waited for a lock that a signal's thread holds while it reads; nothing may block the loop. Change: the thread of the signal makes all attempts, and a later signal ends those of an earlier one. Behaviour stays: the same attempts, times and lines.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -133,7 +133,7 @@
         logStart(config);
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
-        Reload.onHangUp(env, node, loop);
+        Reload.onHangUp(env, node);
         // Before it listens: a node that was told to end just then would end with what it has taken.
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -2,10 +2,6 @@
 
 import java.lang.reflect.Proxy;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 
 /**
  * SIGHUP: the configuration file is read again and the node is told. A JVM left alone would end on it.
@@ -20,27 +16,26 @@
 
     private final Map<String, String> env;
     private final Node node;
-    private final EventLoop loop;
-    private Future<?> retry;
+    /** How many signals have come: a later one ends the attempts of those before it. */
+    private long signals;
 
-    private Reload(Map<String, String> env, Node node, EventLoop loop) {
+    private Reload(Map<String, String> env, Node node) {
         this.env = env;
         this.node = node;
-        this.loop = loop;
     }
 
     /**
      * Takes over the signal. By name, as the compiler's warning about sun.misc.Signal, which is the only way
      * to have signals, cannot be turned off for one class.
      */
-    static void onHangUp(Map<String, String> env, Node node, EventLoop loop) {
-        Reload reload = new Reload(env, node, loop);
+    static void onHangUp(Map<String, String> env, Node node) {
+        Reload reload = new Reload(env, node);
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object read = Proxy.newProxyInstance(
                     Reload.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
-                        reload.read(1);
+                        reload.read();
                         return null;
                     });
             signal.getMethod("handle", signal, handler)
@@ -50,24 +45,32 @@
         }
     }
 
-    /** Each signal has a thread of its own: one at a time, so that the file as read last is what holds. */
-    private synchronized void read(int attempt) {
-        if (retry != null) {
-            retry.cancel(false);
-            retry = null;
+    /**
+     * Each signal has a thread of its own, on which files are read and waits pass, never on the event loop. One at a
+     * time, so that the file as read last is what holds; a wait lets a later signal in.
+     */
+    private synchronized void read() throws InterruptedException {
+        long signal = ++signals;
+        for (int attempt = 1; attempt <= MOST_ATTEMPTS && !isRead(attempt); attempt++) {
+            wait(RETRY_MS);
+            if (signal != signals) {
+                return;
+            }
         }
+    }
+
+    private boolean isRead(int attempt) {
         try {
             NodeConfig changed = NodeConfig.reread(env);
             Log.event(LogEvent.named("reload").with("attempt", attempt).with("discovery", changed.discovery()));
             node.reload(changed);
+            return true;
         } catch (ConfigException e) {
             if (attempt == 1 || attempt == MOST_ATTEMPTS) {
                 Log.line("reload: " + e.getMessage() + "; the configuration stays as it was"
                         + (attempt == 1 ? ", the file is read again" : ""));
             }
-            if (attempt < MOST_ATTEMPTS) {
-                retry = loop.schedule(() -> read(attempt + 1), RETRY_MS, TimeUnit.MILLISECONDS);
-            }
+            return false;
         }
     }
 }
