--- a/src/test/java/kitemux/fault/DiscoveryStandIn.java
+++ b/src/test/java/kitemux/fault/DiscoveryStandIn.java
@@ -30,6 +30,8 @@
         BUSY,
         /** 503 after it has waited for two seconds. */
         BUSY_LATE,
+        /** 503 after it has waited its turn for three seconds. */
+        BUSY_AFTER_TURN,
         /** Reset at once. */
         RESET,
         /** Answered one byte at a time, 1 ms apart. */
@@ -115,6 +117,10 @@
                 Thread.sleep(BUSY_MS);
                 write(socket, busy());
             }
+            case BUSY_AFTER_TURN -> {
+                Thread.sleep(QUEUE_MS);
+                write(socket, busy());
+            }
             case RESET -> socket.setSoLinger(true, 0);
             default -> watch(socket, fault, after(path));
         }
--- a/src/test/java/kitemux/fault/DrainScenario.java
+++ b/src/test/java/kitemux/fault/DrainScenario.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 
+import kitemux.fault.AppServerStandIn.Arrival;
 import kitemux.fault.DiscoveryStandIn.Fault;
 import kitemux.fault.DiscoveryStandIn.Written;
 import kitemux.fault.DrainOracle.Violation;
@@ -21,10 +22,12 @@
  * @param name for reports
  * @param nodes the size of the fleet that the settings tell
  * @param faults what the first calls meet
- * @param drainAfterMs when the drain is made: 0 for before the node starts, else so long after it listens
+ * @param drainAfterMs when the drain is made: at 0 as the node starts, above 0 so long after it listens, below 0 so
+ *     long before it starts
  * @param move a new address of discovery by SIGHUP, or null
+ * @param outage what later calls meet for a while, or null
  */
-record DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs, Move move) {
+record DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs, Move move, Outage outage) {
     /**
      * A move of discovery, told by SIGHUP.
      *
@@ -33,39 +36,64 @@
      */
     record Move(long afterMs, Fault fault) {}
 
+    /**
+     * Calls that come behind the listed ones all meet the same fault.
+     *
+     * @param forMs so long from the node's start on
+     */
+    record Outage(Fault fault, long forMs) {}
+
     DrainScenario(String name, int nodes, List<Fault> faults, long drainAfterMs) {
-        this(name, nodes, faults, drainAfterMs, null);
+        this(name, nodes, faults, drainAfterMs, null, null);
     }
 
+    /** The same with calls that all fail for a while. */
+    DrainScenario with(Outage failing) {
+        return new DrainScenario(name, nodes, faults, drainAfterMs, move, failing);
+    }
+
+    private static final long NANOS_PER_MS = 1_000_000;
     private static final int AT_ONCE = 4;
     private static final int CLIENTS = 3;
     /** Until after the drain the node may send no more, and some more to see that. */
     private static final long WATCHED_MS = 8_000;
+    /** After an outage a node has so long to serve again. */
+    private static final long RECOVERY_MS = 5_000;
+    /** Requests that are served in so long before the end show that it does. */
+    private static final long LAST_NANOS = 1_000_000_000;
+    /** Discovery could be reached from long before a node's start on, however its calls fare. */
+    private static final long REACHABLE_BEFORE_NANOS = 60_000_000_000L;
 
     private static final String LEAVING = "leaving";
     private static final String STAYING = "staying";
 
     /** What a run has shown. */
-    record Outcome(DrainScenario scenario, List<Violation> violations, int served, int calls, String log) {
+    record Outcome(
+            DrainScenario scenario, List<Violation> violations, int served, long servedLast, int calls, String log) {
         boolean isKept() {
-            return violations.isEmpty() && served > 0;
+            return violations.isEmpty() && servedLast > 0;
         }
 
         @Override
         public String toString() {
-            return "%s: %d late of %d served, %d calls, worst %s%n%s"
+            return "%s: %d late of %d served, %d at the end, %d calls, worst %s%n%s"
                     .formatted(
                             scenario,
                             violations.size(),
                             served,
+                            servedLast,
                             calls,
                             violations.isEmpty() ? "none" : violations.get(violations.size() - 1),
-                            violations.isEmpty() ? "" : log);
+                            isKept() ? "" : log);
         }
     }
 
-    private Fault fault(int call) {
-        return call < faults.size() ? faults.get(call) : Fault.NONE;
+    private Fault fault(int call, long startNanos) {
+        if (call < faults.size()) {
+            return faults.get(call);
+        }
+        boolean isOut = outage != null && System.nanoTime() - startNanos < outage.forMs * NANOS_PER_MS;
+        return isOut ? outage.fault : Fault.NONE;
     }
 
     private Fault faultElsewhere(int call) {
@@ -97,17 +125,17 @@
     Outcome play(Path folder) throws Exception {
         ServerListHistory history = new ServerListHistory();
         List<ClientLoop> clients = new ArrayList<>();
+        long startNanos = System.nanoTime();
         try (AppServerStandIn leaving = new AppServerStandIn(LEAVING);
                 AppServerStandIn staying = new AppServerStandIn(STAYING);
-                DiscoveryStandIn discovery = new DiscoveryStandIn(history, this::fault);
+                DiscoveryStandIn discovery = new DiscoveryStandIn(history, call -> fault(call, startNanos));
                 DiscoveryStandIn elsewhere = new DiscoveryStandIn(history, this::faultElsewhere)) {
             history.add(LEAVING, leaving.endpoint());
             history.add(STAYING, staying.endpoint());
             String known = history.whole(0, true);
-            if (drainAfterMs == 0) {
-                history.change(LEAVING, State.DRAINING);
+            if (drainAfterMs <= 0) {
+                history.change(LEAVING, State.DRAINING, startNanos + drainAfterMs * NANOS_PER_MS);
             }
-            long startNanos = System.nanoTime();
             try (NodeProcess node = new NodeProcess(folder, nodes, known, discovery.endpoint())) {
                 node.awaitListening();
                 for (int i = 0; i < CLIENTS; i++) {
@@ -125,14 +153,21 @@
                 if (move != null && signalNanos == DrainOracle.NO_SIGNAL) {
                     signalNanos = moveAfter(listeningMs, node, discovery, elsewhere);
                 }
-                Thread.sleep(WATCHED_MS);
+                long outageLeftMs = outage == null ? 0 : outage.forMs - (System.nanoTime() - startNanos) / NANOS_PER_MS;
+                Thread.sleep(Math.max(WATCHED_MS, outageLeftMs + RECOVERY_MS));
+                long endNanos = System.nanoTime();
                 clients.forEach(ClientLoop::close);
                 List<Written> written = new ArrayList<>(discovery.written());
                 written.addAll(elsewhere.written());
-                List<Violation> violations =
-                        new DrainOracle(startNanos, signalNanos, history.changes(), written).judge(leaving.arrivals());
+                List<Violation> violations = new DrainOracle(
+                                startNanos - REACHABLE_BEFORE_NANOS, signalNanos, history.changes(), written)
+                        .judge(leaving.arrivals());
                 int calls = discovery.calls() + elsewhere.calls();
-                return new Outcome(this, violations, staying.arrivals().size(), calls, node.log());
+                List<Arrival> served = staying.arrivals();
+                long servedLast = served.stream()
+                        .filter(each -> endNanos - each.firstByteNanos() < LAST_NANOS)
+                        .count();
+                return new Outcome(this, violations, served.size(), servedLast, calls, node.log());
             }
         }
     }
--- a/src/test/java/kitemux/fault/DrainSoakTest.java
+++ b/src/test/java/kitemux/fault/DrainSoakTest.java
@@ -39,7 +39,7 @@
         long drainAfterMs = random.nextBoolean() ? 0 : 1 + random.nextLong(LATEST_MS);
         Move move =
                 random.nextInt(3) > 0 ? null : new Move(random.nextLong(LATEST_MS), all[random.nextInt(all.length)]);
-        return new DrainScenario("seed " + seed, nodes, faults, drainAfterMs, move);
+        return new DrainScenario("seed " + seed, nodes, faults, drainAfterMs, move, null);
     }
 
     @Test
--- a/src/test/java/kitemux/fault/ServerListHistory.java
+++ b/src/test/java/kitemux/fault/ServerListHistory.java
@@ -32,8 +32,13 @@
     }
 
     /** Makes a new version at this moment. */
-    synchronized void change(String server, State state) {
-        changes.add(new Change(server, state, System.nanoTime()));
+    void change(String server, State state) {
+        change(server, state, System.nanoTime());
+    }
+
+    /** Makes a new version which discovery has had since a moment that is past. */
+    synchronized void change(String server, State state, long atNanos) {
+        changes.add(new Change(server, state, atNanos));
         notifyAll();
     }
 
