Route by a server list under a lease only, which a failed call never renews

Cause: nothing bounded how long a node uses the list that it holds. Calls to discovery were made in time, but a call that is refused, reset, hangs or waits in vain left the old list in use, and a new process served by the list of its configuration before discovery had said anything. Class of bug: the time of an action is bounded where its effect has to be.

Change: ServerListLease (policy, no clock, no sockets). It is renewed by a list that was taken up or a heartbeat behind one, and by a refused dial as long as proofs follow one another within 2.5 s; it ends 6.3 s after the last proof at a grace of 0.5 s, 4.3 s after a signal that moves discovery. Without it a node refuses each request at once, with Retry-After, and sends nothing: no first attempt, retry or hedge, nothing that awaits a connection or of which no byte has left. What is out goes on to its answer. A new process has none, and is not ready for 4.5 s or until it has one. Pushed lists are held to the same; PushedLists is gone. Grants and losses are logged and counted, refusals counted.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -19,6 +19,12 @@
     /** A list call failed or the subscription broke; the old list stands. */
     void onListFailed(long nowUs);
 
+    /**
+     * Until when requests may be sent by the server list; from then on none is, and all that are not out at a server
+     * are answered. Without this event a list may be used for good.
+     */
+    void onLease(long nowUs, long untilUs);
+
     /**
      * A client's request; it is owed exactly one final answer.
      *
--- /dev/null
+++ b/src/main/java/kitemux/ServerListLease.java
@@ -0,0 +1,100 @@
+package kitemux;
+
+/**
+ * Until when a node may route by the server list that it holds.
+ *
+ * <p>A change that a node has missed counts as notified after a fixed time, whether or not it has arrived. So a list
+ * is good for that time from the last moment at which discovery is known to have had nothing else to say, and not
+ * for as long as calls to discovery fail. What a call meets that is accepted and fails proves nothing: discovery was
+ * there, and may have had a change.
+ *
+ * <p>All times are microseconds of the node's monotonic clock. The class has no clock, sockets or timers of its own.
+ */
+public final class ServerListLease {
+    /** The end of a lease that is not held, however early it is. */
+    public static final long NOT_HELD = Long.MIN_VALUE;
+
+    /**
+     * How long a lease lasts, in microseconds.
+     *
+     * @param listUs from a list or a heartbeat on
+     * @param moveUs from a signal that moves discovery on, if the new address says nothing
+     * @param endedWatchUs from the end of a watch on, if no other call says anything
+     */
+    public record Terms(long listUs, long moveUs, long endedWatchUs) {
+        /** A missed change counts as notified so long after the watch fell silent, by the protocol. */
+        private static final long NOTIFIED_AFTER_US = 6_000_000;
+        /** What discovery has counts as notified so long after a signal that moves it, by the protocol. */
+        private static final long NOTIFIED_AFTER_MOVE_US = 4_000_000;
+        /** Of the grace: a node may be held up for 0.15 s between reading its clock and writing. */
+        private static final long RESERVE_US = 200_000;
+
+        /** The terms that follow from a site's settings. */
+        public static Terms of(Balancer.Settings settings) {
+            long graceUs = settings.drainGraceUs - RESERVE_US;
+            long notifiedUs =
+                    settings.listOnRequest ? Math.min(NOTIFIED_AFTER_US, settings.askWithinUs) : NOTIFIED_AFTER_US;
+            long listUs = Math.max(0, notifiedUs + graceUs);
+            // Where lists are pushed, what discovery has counts at once when no watch is open.
+            long endedWatchUs = settings.listOnRequest ? listUs : Math.max(0, graceUs);
+            return new Terms(listUs, Math.max(0, NOTIFIED_AFTER_MOVE_US + graceUs), endedWatchUs);
+        }
+    }
+
+    /**
+     * The longest time between two proofs that follow one another. Heartbeats come every 2 s; after a longer time
+     * discovery may have been there unseen, and only its own word counts again.
+     */
+    private static final long LONGEST_PROOF_GAP_US = 2_500_000;
+
+    private final Terms terms;
+    private long endsAtUs = NOT_HELD;
+    private long provenAtUs;
+    private boolean moved;
+    private boolean watchEnded;
+
+    public ServerListLease(Terms terms) {
+        this.terms = terms;
+    }
+
+    /** When it ends, if nothing renews it, or {@link #NOT_HELD}. */
+    public long endsAtUs() {
+        return endsAtUs;
+    }
+
+    /** Whether requests may be sent by the list. */
+    public boolean isHeld(long nowUs) {
+        return nowUs < endsAtUs;
+    }
+
+    /** Discovery has given a list that was taken up, or a heartbeat behind one. */
+    public void confirmed(long nowUs) {
+        moved = false;
+        watchEnded = false;
+        provenAtUs = nowUs;
+        endsAtUs = nowUs + terms.listUs;
+    }
+
+    /**
+     * Discovery's address has refused a connection: nothing that it might have to say could be heard. This holds a
+     * lease without a gap only, as an earlier change may have been missed otherwise.
+     */
+    public void unreachable(long nowUs) {
+        if (!moved && isHeld(nowUs) && nowUs - provenAtUs <= LONGEST_PROOF_GAP_US) {
+            provenAtUs = nowUs;
+            endsAtUs = nowUs + (watchEnded ? terms.endedWatchUs : terms.listUs);
+        }
+    }
+
+    /** The watch has ended. */
+    public void watchEnded(long nowUs) {
+        watchEnded = true;
+        endsAtUs = Math.min(endsAtUs, nowUs + terms.endedWatchUs);
+    }
+
+    /** A signal has moved discovery to another address, which must say something from now on. */
+    public void moved(long signalledAtUs) {
+        moved = true;
+        endsAtUs = Math.min(endsAtUs, signalledAtUs + terms.moveUs);
+    }
+}
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -190,6 +190,10 @@
     private int inFlight;
     private double limits;
     private long askListAt = Long.MAX_VALUE;
+    private long leaseUntil = Long.MAX_VALUE;
+    /** Requests refused as no list could be used, since that was last logged. */
+    private long refusedWithoutLease;
+
     private final DiscoveryRetryPolicy discoveryRetries;
 
     private static final class Server {
@@ -523,6 +527,23 @@
         askListAt = now + Math.max(1, set.askWithinUs / 2);
     }
 
+    /** What waits has no server to wait for once the list may not be used: it is answered at once. */
+    @Override
+    public void onLease(long nowUs, long untilUs) {
+        now = nowUs;
+        leaseUntil = untilUs;
+        if (isLeaseHeld() && refusedWithoutLease > 0) {
+            log("refused " + refusedWithoutLease + " requests for want of a server list that holds");
+            refusedWithoutLease = 0;
+        }
+        serveWaiting(KEYS_TRIED);
+        scheduleWake();
+    }
+
+    private boolean isLeaseHeld() {
+        return now < leaseUntil;
+    }
+
     // ---------------------------------------------------------------- requests and outcomes
 
     @Override
@@ -537,6 +558,12 @@
         Call call = new Call(request, set, now);
         calls.put(request.id(), call);
         call.value = value(call);
+        if (!isLeaseHeld()) {
+            refusedWithoutLease++;
+            giveUp(call);
+            scheduleWake();
+            return;
+        }
         if (sparse && random.nextDouble() >= admitted(call)) {
             giveUp(call);
             scheduleWake();
@@ -1246,9 +1273,9 @@
         }
     }
 
-    /** Rule 2: whether any further attempt could be lawful, wherever it goes. */
+    /** Rules 2 and 3: whether any further attempt could be lawful, wherever it goes. */
     private boolean mayTryAgain(Call call) {
-        if (call.attempts >= set.maxAttempts || now >= call.deadlineAt || call.streaming) {
+        if (!isLeaseHeld() || call.attempts >= set.maxAttempts || now >= call.deadlineAt || call.streaming) {
             return false;
         }
         int binding = call.binding();
--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -221,10 +221,8 @@
             if (path.equals("/up")) {
                 // The front need not ask a second time.
                 keepAlive &= !server.isDraining();
-                answer(
-                        server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
-                        NO_BODY,
-                        0);
+                boolean isReady = handler.isReady() && !server.isDraining();
+                answer(isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
                 handler.asked(this, reader.read(next.head, next.body), next.arrivedAtUs);
             } else {
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -30,6 +30,9 @@
          */
         void asked(ClientConnection client, ClientRequest request, long arrivedAtUs) throws BadRequestException;
 
+        /** Whether the front may send clients here. */
+        boolean isReady();
+
         /** The client has closed before it had its answer. */
         void left(ClientConnection client);
     }
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -19,6 +19,7 @@
 
 import kitemux.DiscoveryCallScheduler;
 import kitemux.DiscoveryCallScheduler.Timing;
+import kitemux.ServerListLease;
 
 /**
  * The client of discovery: it makes the calls that {@link DiscoveryCallScheduler} asks for, and passes on the lists
@@ -30,6 +31,9 @@
         /** A list has come. */
         void listed(HostList list);
 
+        /** Requests may be sent by the list until a time: it has been renewed, cut short, or has just passed. */
+        default void leased(long untilUs) {}
+
         /** A call or a watch has failed; another call follows without the listener's doing. */
         default void failed(String reason) {}
     }
@@ -42,6 +46,12 @@
     private final Listener listener;
     private final Bootstrap dialer;
     private final DiscoveryCallScheduler scheduler;
+    private final ServerListLease lease;
+    /** The end of the lease that the listener was last given. */
+    private long leasedUntilUs = ServerListLease.NOT_HELD;
+
+    private long grants;
+    private long losses;
     private final Map<Long, DiscoveryCall> calls = new HashMap<>();
     private InetSocketAddress address;
     /** Counts the addresses that discovery has had: a call belongs to one of them. */
@@ -55,11 +65,13 @@
 
     private boolean started;
     private Future<?> wake;
+    private Future<?> leaseEnd;
 
     Discovery(
             EventLoop loop,
             NodeConfig config,
             Timing timing,
+            ServerListLease.Terms terms,
             Clock clock,
             Listener listener,
             ChannelFactory<? extends SocketChannel> channels) {
@@ -70,7 +82,8 @@
         zones = config.settings().zones;
         version = config.known().rev();
         SplittableRandom random = new SplittableRandom(config.seed());
-        scheduler = new DiscoveryCallScheduler(timing, (least, most) -> random.nextLong(least, most + 1), this);
+        lease = new ServerListLease(terms);
+        scheduler = new DiscoveryCallScheduler(timing, (least, most) -> random.nextLong(least, most + 1), lease, this);
         dialer = new Bootstrap()
                 .group(loop)
                 .channelFactory(channels)
@@ -96,8 +109,10 @@
     /**
      * Discovery is elsewhere from now on. Nothing says that versions mean the same at both places, so the whole list
      * is asked for.
+     *
+     * @param signalledAtUs when the signal came that told of it
      */
-    void moveTo(InetSocketAddress to) {
+    void moveTo(InetSocketAddress to, long signalledAtUs) {
         if (to.equals(address)) {
             return;
         }
@@ -106,8 +121,9 @@
         place++;
         versionIsOfThisPlace = false;
         if (started) {
-            scheduler.moved(clock.nowUs());
+            scheduler.moved(clock.nowUs(), signalledAtUs);
             scheduleWake();
+            followLease("discovery has moved");
         }
     }
 
@@ -142,6 +158,55 @@
         scheduleWake();
     }
 
+    // ---------------------------------------------------------------- the lease
+
+    /** Passes on a change of the lease's end, and logs when it is granted or lost. */
+    private void followLease(String reason) {
+        long untilUs = lease.endsAtUs();
+        if (untilUs == leasedUntilUs) {
+            return;
+        }
+        boolean wasHeld = leaseEnd != null;
+        if (wasHeld) {
+            leaseEnd.cancel(false);
+            leaseEnd = null;
+        }
+        leasedUntilUs = untilUs;
+        long leftUs = untilUs - clock.nowUs();
+        if (leftUs > 0) {
+            leaseEnd = loop.schedule(this::endLease, leftUs, TimeUnit.MICROSECONDS);
+        }
+        if (!wasHeld && leftUs > 0) {
+            grants++;
+            logLease("granted", reason);
+        } else if (wasHeld && leftUs <= 0) {
+            losses++;
+            logLease("lost", reason);
+        }
+        listener.leased(untilUs);
+    }
+
+    private void endLease() {
+        if (lease.isHeld(clock.nowUs())) {
+            // Timers may be early by a fraction of a millisecond.
+            leaseEnd = loop.schedule(this::endLease, 1, TimeUnit.MILLISECONDS);
+            return;
+        }
+        leaseEnd = null;
+        losses++;
+        logLease("lost", "nothing vouches for the list");
+        listener.leased(leasedUntilUs);
+    }
+
+    private void logLease(String action, String reason) {
+        Log.event(LogEvent.named("server_list_lease")
+                .with("action", action)
+                .with("reason", reason)
+                .with("version", version)
+                .with("grants", grants)
+                .with("losses", losses));
+    }
+
     // ---------------------------------------------------------------- what calls report
 
     /** The version from which a call to this place may go on, or -1 for the whole list. */
@@ -167,17 +232,41 @@
         scheduleWake();
     }
 
+    /** What a call has said holds for the list that was taken up last. */
+    void confirmed(DiscoveryCall call) {
+        scheduler.confirmed(clock.nowUs(), call.number());
+        scheduleWake();
+        followLease("discovery has confirmed the list");
+    }
+
     /** A call has ended by itself. */
-    void failed(DiscoveryCall call, String reason, boolean refused) {
+    void failed(DiscoveryCall call, String reason) {
         calls.remove(call.number());
-        scheduler.failed(clock.nowUs(), call.number(), refused);
+        scheduler.failed(clock.nowUs(), call.number());
+        ended(reason);
+    }
+
+    /** The address of discovery has refused the connection for a call. */
+    void unreachable(DiscoveryCall call, String reason) {
+        calls.remove(call.number());
+        scheduler.unreachable(clock.nowUs(), call.number());
+        ended(reason);
+    }
+
+    private void ended(String reason) {
         scheduleWake();
+        followLease(reason);
         listener.failed(reason);
     }
 
+    /** Whether discovery still is at the place of this number. */
+    boolean isAt(int numberOfPlace) {
+        return numberOfPlace == place;
+    }
+
     /** Whether a heartbeat as a call's first word says that the list that is known still holds. */
     boolean holdsListOf(DiscoveryCall call) {
-        return call.place() == place && versionIsOfThisPlace;
+        return isAt(call.place()) && versionIsOfThisPlace;
     }
 
     /**
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -25,6 +25,7 @@
 import kitemux.Balancer.Request;
 import kitemux.Balancer.Result;
 import kitemux.DiscoveryCallScheduler.Timing;
+import kitemux.ServerListLease;
 
 /**
  * A real node: it carries what happens on the sockets to the decision module and what the module asks for
@@ -39,6 +40,11 @@
     private static final int MOST_LISTEN_ATTEMPTS = 40;
 
     private static final long LISTEN_RETRY_MS = 50;
+    /**
+     * A node without a lease is not ready for clients, but for so long only: where discovery answers nobody, a refusal
+     * from each node is better than no node at all.
+     */
+    private static final long LONGEST_UNREADY_MS = 4_500;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -46,9 +52,6 @@
     private final ServerPool pool;
     private final ClientServer clients;
     private final Discovery discovery;
-    /** Where lists are pushed, so that the module does not ask for them; else null. */
-    private final PushedLists pushed;
-
     private final Balancer balancer;
 
     private final Map<Long, InFlightRequest> inFlight = new HashMap<>();
@@ -60,6 +63,8 @@
     /** What is still in flight then would be lost with the process. */
     private long lastAnswerAtUs = Long.MAX_VALUE;
 
+    private boolean ready;
+
     private Future<?> housekeeping;
     private Future<?> wake;
     private long wakeAtUs;
@@ -95,6 +100,11 @@
                         take(client, request, arrivedAtUs);
                     }
 
+                    @Override
+                    public boolean isReady() {
+                        return ready;
+                    }
+
                     @Override
                     public void left(ClientConnection client) {
                         InFlightRequest gone = client.inFlight;
@@ -105,14 +115,23 @@
                         });
                     }
                 });
-        Discovery.Listener lists = list -> list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
-        pushed = config.settings().listOnRequest || config.discovery() == null ? null : new PushedLists(loop, lists);
         discovery = new Discovery(
                 loop,
                 config,
                 Timing.of(config.settings()),
+                ServerListLease.Terms.of(config.settings()),
                 clock,
-                pushed == null ? lists : pushed,
+                new Discovery.Listener() {
+                    @Override
+                    public void listed(HostList list) {
+                        list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
+                    }
+
+                    @Override
+                    public void leased(long untilUs) {
+                        lease(untilUs);
+                    }
+                },
                 dependencies.discoveryChannels());
         balancer = dependencies.balancers().apply(this);
     }
@@ -184,6 +203,13 @@
     /** Takes up the list that is known and asks for what has changed since. */
     void learn() {
         loop.execute(() -> {
+            if (config.discovery() == null) {
+                // Nothing can change the list: it holds for good.
+                ready = true;
+            } else {
+                lease(ServerListLease.NOT_HELD);
+                loop.schedule(() -> ready = true, LONGEST_UNREADY_MS, TimeUnit.MILLISECONDS);
+            }
             list(config.known(), ListKind.CACHED);
             housekeeping = loop.scheduleAtFixedRate(
                     () -> {
@@ -193,22 +219,17 @@
                     Limits.HOUSEKEEPING_MS,
                     Limits.HOUSEKEEPING_MS,
                     TimeUnit.MILLISECONDS);
-            if (pushed != null) {
-                pushed.start(discovery);
+            if (config.discovery() != null && !config.settings().listOnRequest) {
+                // The module asks for no lists where they are pushed.
+                discovery.start();
             }
         });
     }
 
-    /** Lets clients connect, where lists are pushed after the first of them. */
+    /** Lets clients connect. The front waits for more, which is that the node is ready. */
     Future<SocketAddress> listen() {
         Promise<SocketAddress> listening = loop.newPromise();
-        loop.execute(() -> {
-            if (pushed == null) {
-                listen(listening, MOST_LISTEN_ATTEMPTS);
-            } else {
-                pushed.afterFirst(() -> listen(listening, MOST_LISTEN_ATTEMPTS));
-            }
-        });
+        loop.execute(() -> listen(listening, MOST_LISTEN_ATTEMPTS));
         return listening;
     }
 
@@ -229,9 +250,23 @@
         });
     }
 
-    /** Takes over what may change while a node runs, which is where discovery is. */
-    void reload(NodeConfig changed) {
-        loop.execute(() -> discovery.moveTo(changed.discovery()));
+    /**
+     * Takes over what may change while a node runs, which is where discovery is.
+     *
+     * @param signalledAtUs when the signal came that told of the change, by {@link #nowUs}
+     */
+    void reload(NodeConfig changed, long signalledAtUs) {
+        loop.execute(() -> discovery.moveTo(changed.discovery(), signalledAtUs));
+    }
+
+    /** The time by the node's clock, on any thread. */
+    long nowUs() {
+        return clock.nowUs();
+    }
+
+    /** Whether requests may be sent. To be called on the event loop. */
+    boolean mayRoute() {
+        return pool.mayRoute();
     }
 
     /** Says no to the front, serves what comes in the time left, and calls back once nothing is held. */
@@ -289,6 +324,15 @@
         });
     }
 
+    /** In order with the lists, as a lease holds for the list that came before it. */
+    private void lease(long untilUs) {
+        events.add(null, () -> {
+            pool.routeUntil(untilUs);
+            ready |= pool.mayRoute();
+            balancer.onLease(clock.nowUs(), untilUs);
+        });
+    }
+
     private void take(ClientConnection client, ClientRequest request, long arrivedAtUs) throws BadRequestException {
         if (!openTxns.add(request.txn())) {
             throw new BadRequestException("X-Txn is that of an open request");
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -14,10 +14,14 @@
     /** Attempts after a signal: for five seconds. */
     private static final int MOST_ATTEMPTS = 50;
 
+    private static final long NONE = Long.MAX_VALUE;
+
     private final Map<String, String> env;
     private final Node node;
     /** How many signals have come: a later one ends the attempts of those before it. */
     private long signals;
+    /** When the first signal came behind which the file has not been read yet. */
+    private long signalledAtUs = NONE;
 
     private Reload(Map<String, String> env, Node node) {
         this.env = env;
@@ -35,7 +39,7 @@
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object read = Proxy.newProxyInstance(
                     Reload.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
-                        reload.read();
+                        reload.read(node.nowUs());
                         return null;
                     });
             signal.getMethod("handle", signal, handler)
@@ -49,8 +53,9 @@
      * Each signal has a thread of its own, on which files are read and waits pass, never on the event loop. One at a
      * time, so that the file as read last is what holds; a wait lets a later signal in.
      */
-    private synchronized void read() throws InterruptedException {
+    private synchronized void read(long cameAtUs) throws InterruptedException {
         long signal = ++signals;
+        signalledAtUs = Math.min(signalledAtUs, cameAtUs);
         for (int attempt = 1; attempt <= MOST_ATTEMPTS && !isRead(attempt); attempt++) {
             wait(RETRY_MS);
             if (signal != signals) {
@@ -63,7 +68,8 @@
         try {
             NodeConfig changed = NodeConfig.reread(env);
             Log.event(LogEvent.named("reload").with("attempt", attempt).with("discovery", changed.discovery()));
-            node.reload(changed);
+            node.reload(changed, signalledAtUs);
+            signalledAtUs = NONE;
             return true;
         } catch (ConfigException e) {
             if (attempt == 1 || attempt == MOST_ATTEMPTS) {
--- a/src/main/java/kitemux/node/ServerChannel.java
+++ b/src/main/java/kitemux/node/ServerChannel.java
@@ -13,10 +13,17 @@
 class ServerChannel extends NioSocketChannel {
     private final ByteBuffer oneByte = ByteBuffer.allocate(1);
     private boolean writtenWhole;
+    private boolean writtenInPart;
 
-    /** To be called before a message is written: {@link #isWrittenWhole} speaks of that message from here on. */
+    /** To be called before a message is written: {@link #isWrittenWhole} and {@link #isWrittenInPart} speak of it from here on. */
     final void beginMessage() {
         writtenWhole = false;
+        writtenInPart = false;
+    }
+
+    /** Whether the system has taken the first byte of the message. */
+    final boolean isWrittenInPart() {
+        return writtenInPart;
     }
 
     /**
@@ -29,10 +36,12 @@
 
     @Override
     protected final void doWrite(ChannelOutboundBuffer pending) throws Exception {
+        int buffers = pending.size();
         try {
             writeOut(pending);
         } finally {
             writtenWhole = pending.isEmpty();
+            writtenInPart |= pending.size() < buffers || pending.currentProgress() > 0;
         }
     }
 
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -29,6 +29,8 @@
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
     private final Map<Exchange, ServerConnection> carriers = new HashMap<>();
+    /** From then on no request may leave, as nothing vouches for the list. */
+    private long routeUntilUs = Long.MAX_VALUE;
     /** How much of responses has come that have not ended yet. */
     private int responseBytes;
 
@@ -78,9 +80,11 @@
             if (host.entry().state() == ServerState.GONE) {
                 remove(id);
             } else {
-                upstreams
-                        .computeIfAbsent(id, Upstream::new)
-                        .follow(host, host.entry().state() == ServerState.READY);
+                Upstream upstream = upstreams.computeIfAbsent(id, Upstream::new);
+                upstream.follow(host, host.entry().state() == ServerState.READY);
+                if (!upstream.isReady()) {
+                    withdrawUnsent(upstream);
+                }
             }
         }
         missing.keySet().forEach(this::remove);
@@ -90,15 +94,38 @@
         Upstream upstream = upstreams.remove(id);
         if (upstream != null) {
             upstream.remove();
+            withdrawUnsent(upstream);
         }
     }
 
+    private void withdrawUnsent(Upstream upstream) {
+        for (ServerConnection connection : List.copyOf(carriers.values())) {
+            if (connection.leadsTo(upstream)) {
+                connection.withdrawUnsent();
+            }
+        }
+    }
+
+    /** The list may be used until a time. Once that is past, what has not left for a server never does. */
+    void routeUntil(long untilUs) {
+        routeUntilUs = untilUs;
+        if (!mayRoute()) {
+            upstreams.values().forEach(Upstream::turnAwayAll);
+            List.copyOf(carriers.values()).forEach(ServerConnection::withdrawUnsent);
+        }
+    }
+
+    /** Whether a request may leave now. */
+    boolean mayRoute() {
+        return clock.nowUs() < routeUntilUs;
+    }
+
     // ---------------------------------------------------------------- exchanges
 
     /** Starts an exchange; the connection that carries it tells its end. */
     void start(String serverId, Exchange exchange) {
         Upstream upstream = upstreams.get(serverId);
-        if (upstream == null || !upstream.isReady() || !exchange.isWanted()) {
+        if (upstream == null || !upstream.isReady() || !mayRoute() || !exchange.isWanted()) {
             exchange.ended(Result.MOOT, NO_BODY);
             return;
         }
--- a/src/main/java/kitemux/node/Upstream.java
+++ b/src/main/java/kitemux/node/Upstream.java
@@ -83,8 +83,8 @@
         }
     }
 
-    /** Ends what awaits a connection to a server that wants nothing new: it never ran. */
-    private void turnAwayAll() {
+    /** Ends what awaits a connection to a server that must get nothing new: it never ran. */
+    void turnAwayAll() {
         Exchange exchange;
         while ((exchange = awaiting.poll()) != null) {
             exchange.ended(Result.MOOT, NO_BODY);
--- /dev/null
+++ b/src/test/java/kitemux/ServerListLeaseTest.java
@@ -0,0 +1,111 @@
+package kitemux;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import kitemux.Balancer.Settings;
+import kitemux.ServerListLease.Terms;
+
+/** What renews a lease, and when it ends. */
+class ServerListLeaseTest {
+    private static final long SECOND_US = 1_000_000;
+    /** The grace of half a second, less what a node may be held up and what writing needs. */
+    private static final long LEFT_OF_GRACE_US = 300_000;
+
+    private static Settings settings(boolean onRequest) {
+        Settings settings = new Settings();
+        settings.listOnRequest = onRequest;
+        settings.drainGraceUs = 500_000;
+        return settings;
+    }
+
+    private static ServerListLease lease(boolean onRequest) {
+        return new ServerListLease(Terms.of(settings(onRequest)));
+    }
+
+    @Test
+    void aNewProcessHasNoneAndARefusedDialGrantsNone() {
+        ServerListLease lease = lease(true);
+        assertFalse(lease.isHeld(0));
+        lease.unreachable(0);
+        assertFalse(lease.isHeld(0));
+    }
+
+    @Test
+    void itEndsSixSecondsAndPartOfTheGraceAfterDiscoveryHasConfirmedTheList() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(SECOND_US);
+        assertEquals(7 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        assertTrue(lease.isHeld(lease.endsAtUs() - 1));
+        assertFalse(lease.isHeld(lease.endsAtUs()));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3000000, 3300000", "10000000, 6300000"})
+    void theTimeThatTheSettingsGiveForAskingBindsWhereItIsShorter(long askWithinUs, long listUs) {
+        Settings settings = settings(true);
+        settings.askWithinUs = askWithinUs;
+        assertEquals(listUs, Terms.of(settings).listUs());
+    }
+
+    @Test
+    void aGraceShorterThanWhatANodeMayBeHeldUpShortensIt() {
+        Settings settings = settings(true);
+        settings.drainGraceUs = 0;
+        assertEquals(5_800_000, Terms.of(settings).listUs());
+    }
+
+    @Test
+    void refusedDialsWithoutAGapHoldIt() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        for (long atUs = 2 * SECOND_US; atUs <= 40 * SECOND_US; atUs += 2 * SECOND_US) {
+            lease.unreachable(atUs);
+        }
+        assertEquals(46 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void aRefusedDialBehindAGapDoesNotHoldIt() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.unreachable(3 * SECOND_US);
+        assertEquals(6 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void aMoveEndsItFourSecondsAndPartOfTheGraceAfterItsSignalWhateverTheNewAddressRefuses() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.moved(SECOND_US);
+        lease.unreachable(2 * SECOND_US);
+        assertEquals(5 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.confirmed(2 * SECOND_US);
+        assertEquals(8 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void aMoveDoesNotProlongIt() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.moved(5 * SECOND_US);
+        assertEquals(6 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void whereListsArePushedItEndsWithinTheGraceOnceTheWatchHasEndedAndRefusedDialsHoldItSoLong() {
+        ServerListLease lease = lease(false);
+        lease.confirmed(0);
+        lease.watchEnded(SECOND_US);
+        assertEquals(SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.unreachable(SECOND_US + 200_000);
+        assertEquals(SECOND_US + 200_000 + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.confirmed(SECOND_US + 300_000);
+        assertEquals(7 * SECOND_US + 300_000 + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+}
--- a/src/test/java/kitemux/node/DeadlineTest.java
+++ b/src/test/java/kitemux/node/DeadlineTest.java
@@ -32,6 +32,8 @@
             FarServer.next(server.requests);
             site.awaitRead();
             clock.advance(20 * SECOND_US);
+            FarServer.next(site.discovery.peers).write(Site.chunk("\n"));
+            site.awaitLease();
             first.countDown();
             assertEquals(200, Http.read(client.getInputStream()).status());
             assertEquals(200, Http.read(client.getInputStream()).status());
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -72,8 +72,13 @@
         return new RequestClass(name, 1_000_000, 0, 5_000_000, 1, 0, repeat, group, 1_200_000, false);
     }
 
-    /** A site whose discovery opens a watch and says nothing on it. */
+    /** A site whose discovery opens each watch with a heartbeat: the list that the node knows holds. */
     static Site quiet() throws IOException {
+        return new Site(new FarServer((request, peer) -> peer.write(watchHead() + chunk("\n"))));
+    }
+
+    /** A site whose discovery opens a watch and says nothing on it. */
+    static Site silent() throws IOException {
         return new Site(new FarServer((request, peer) -> peer.write(watchHead())));
     }
 
@@ -126,7 +131,23 @@
         return startKnowing(list(1, true, entries));
     }
 
+    /** Starts the node with a list that discovery has still to confirm, and waits until it does. */
     Site startKnowing(String known) throws Exception {
+        startUnconfirmed(known);
+        awaitLease();
+        return this;
+    }
+
+    /** Waits until the node may send requests by its list. */
+    void awaitLease() throws Exception {
+        long until = System.nanoTime() + PATIENCE_NANOS;
+        while (!loop.submit(node::mayRoute).get()) {
+            assertTrue(System.nanoTime() < until, "nothing vouches for the list");
+        }
+    }
+
+    /** The same without waiting. */
+    Site startUnconfirmed(String known) throws Exception {
         node = new Node(config(known), loop, dependencies());
         address = (InetSocketAddress) node.start().sync().getNow();
         return this;
