Bound the lease by a watch that ends in order, and by a list that has begun to come

Cause: discovery may end a watch instead of telling a change. That is a long poll that is over: what it missed counts as notified 2 s later, while the lease went on for up to 6.3 s from the last heartbeat. A list that is cut short, garbled or of an older version has been written and counts at once, while the lease did not heed it.

Change: ServerListLease ends 2.3 s after an end in order (a reset leaves it), and 0.3 s after the first byte of a list until it is whole. Refused dials do not prolong the latter. DiscoveryCallScheduler tells an end from a failure.

--- a/src/main/java/kitemux/DiscoveryCallScheduler.java
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -188,16 +188,35 @@
     /** A call could not be made, as discovery's address has refused the connection. */
     public void unreachable(long nowUs, long call) {
         lease.unreachable(nowUs);
-        failed(nowUs, call);
+        over(nowUs, call);
     }
 
-    /** A call has failed, or a watch has ended. */
+    /** Discovery has ended a call in order, or a watch. */
+    public void ended(long nowUs, long call) {
+        if (call == watch) {
+            lease.watchEnded(nowUs);
+        }
+        over(nowUs, call);
+    }
+
+    /** A call has failed, or a watch was reset. */
     public void failed(long nowUs, long call) {
+        if (call == watch) {
+            lease.watchBroken(nowUs);
+        }
+        over(nowUs, call);
+    }
+
+    /** A list has begun to come on a call, and the rest of it is still to come. */
+    public void listBegun(long nowUs) {
+        lease.listBegun(nowUs);
+    }
+
+    private void over(long nowUs, long call) {
         if (call == watchElsewhere) {
             watchElsewhere = NO_CALL;
         } else if (call == watch) {
             watch = NO_CALL;
-            lease.watchEnded(nowUs);
             if (pending.isEmpty()) {
                 callWithin(nowUs, Math.max(firstSpreadUs(nowUs), timing.shortestSpreadUs()));
             }
--- a/src/main/java/kitemux/ServerListLease.java
+++ b/src/main/java/kitemux/ServerListLease.java
@@ -19,13 +19,17 @@
      *
      * @param listUs from a list or a heartbeat on
      * @param moveUs from a signal that moves discovery on, if the new address says nothing
-     * @param endedWatchUs from the end of a watch on, if no other call says anything
+     * @param endedWatchUs from a moment at which discovery has ended the watch in order on
+     * @param brokenWatchUs from a moment at which the watch was reset on
+     * @param begunListUs from the first byte of a list on, if the rest does not come
      */
-    public record Terms(long listUs, long moveUs, long endedWatchUs) {
+    public record Terms(long listUs, long moveUs, long endedWatchUs, long brokenWatchUs, long begunListUs) {
         /** A missed change counts as notified so long after the watch fell silent, by the protocol. */
         private static final long NOTIFIED_AFTER_US = 6_000_000;
         /** What discovery has counts as notified so long after a signal that moves it, by the protocol. */
         private static final long NOTIFIED_AFTER_MOVE_US = 4_000_000;
+        /** A watch that ends in order is a long poll that is over: what it missed counts so long after, at the latest. */
+        private static final long NOTIFIED_AFTER_END_US = 2_000_000;
         /** Of the grace: a node may be held up for 0.15 s between reading its clock and writing. */
         private static final long RESERVE_US = 200_000;
 
@@ -35,9 +39,14 @@
             long notifiedUs =
                     settings.listOnRequest ? Math.min(NOTIFIED_AFTER_US, settings.askWithinUs) : NOTIFIED_AFTER_US;
             long listUs = Math.max(0, notifiedUs + graceUs);
-            // Where lists are pushed, what discovery has counts at once when no watch is open.
-            long endedWatchUs = settings.listOnRequest ? listUs : Math.max(0, graceUs);
-            return new Terms(listUs, Math.max(0, NOTIFIED_AFTER_MOVE_US + graceUs), endedWatchUs);
+            long moveUs = Math.max(0, NOTIFIED_AFTER_MOVE_US + graceUs);
+            long atOnceUs = Math.max(0, graceUs);
+            if (!settings.listOnRequest) {
+                // What discovery has counts at once also while no watch is open.
+                return new Terms(listUs, moveUs, atOnceUs, atOnceUs, atOnceUs);
+            }
+            long endedWatchUs = Math.min(listUs, Math.max(0, NOTIFIED_AFTER_END_US + graceUs));
+            return new Terms(listUs, moveUs, endedWatchUs, listUs, atOnceUs);
         }
     }
 
@@ -50,8 +59,10 @@
     private final Terms terms;
     private long endsAtUs = NOT_HELD;
     private long provenAtUs;
-    private boolean moved;
-    private boolean watchEnded;
+    /** What no proof but discovery's word may pass: something has counted already, or will at a known time. */
+    private long endsAtLatestUs = Long.MAX_VALUE;
+    /** How long a proof holds that is not discovery's word. */
+    private long proofUs;
 
     public ServerListLease(Terms terms) {
         this.terms = terms;
@@ -69,8 +80,8 @@
 
     /** Discovery has given a list that was taken up, or a heartbeat behind one. */
     public void confirmed(long nowUs) {
-        moved = false;
-        watchEnded = false;
+        endsAtLatestUs = Long.MAX_VALUE;
+        proofUs = terms.listUs;
         provenAtUs = nowUs;
         endsAtUs = nowUs + terms.listUs;
     }
@@ -80,21 +91,36 @@
      * lease without a gap only, as an earlier change may have been missed otherwise.
      */
     public void unreachable(long nowUs) {
-        if (!moved && isHeld(nowUs) && nowUs - provenAtUs <= LONGEST_PROOF_GAP_US) {
+        if (isHeld(nowUs) && nowUs - provenAtUs <= LONGEST_PROOF_GAP_US) {
             provenAtUs = nowUs;
-            endsAtUs = nowUs + (watchEnded ? terms.endedWatchUs : terms.listUs);
+            endsAtUs = Math.min(endsAtLatestUs, nowUs + proofUs);
         }
     }
 
-    /** The watch has ended. */
+    /** Discovery has ended the watch in order. */
     public void watchEnded(long nowUs) {
-        watchEnded = true;
+        proofUs = terms.endedWatchUs;
         endsAtUs = Math.min(endsAtUs, nowUs + terms.endedWatchUs);
     }
 
+    /** The watch was reset. */
+    public void watchBroken(long nowUs) {
+        proofUs = terms.brokenWatchUs;
+        endsAtUs = Math.min(endsAtUs, nowUs + terms.brokenWatchUs);
+    }
+
+    /** A list has begun to come that has not come whole. */
+    public void listBegun(long nowUs) {
+        boundBy(nowUs + terms.begunListUs);
+    }
+
     /** A signal has moved discovery to another address, which must say something from now on. */
     public void moved(long signalledAtUs) {
-        moved = true;
-        endsAtUs = Math.min(endsAtUs, signalledAtUs + terms.moveUs);
+        boundBy(signalledAtUs + terms.moveUs);
+    }
+
+    private void boundBy(long latestUs) {
+        endsAtLatestUs = Math.min(endsAtLatestUs, latestUs);
+        endsAtUs = Math.min(endsAtUs, latestUs);
     }
 }
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -239,21 +239,34 @@
         followLease("discovery has confirmed the list");
     }
 
-    /** A call has ended by itself. */
+    /** A list has begun to come, and the rest of it is still to come. */
+    void listBegun() {
+        scheduler.listBegun(clock.nowUs());
+        followLease("a list has not come whole");
+    }
+
+    /** A call has failed, or a watch was reset. */
     void failed(DiscoveryCall call, String reason) {
         calls.remove(call.number());
         scheduler.failed(clock.nowUs(), call.number());
-        ended(reason);
+        over(reason);
+    }
+
+    /** Discovery has ended a call or a watch in order. */
+    void ended(DiscoveryCall call, String reason) {
+        calls.remove(call.number());
+        scheduler.ended(clock.nowUs(), call.number());
+        over(reason);
     }
 
     /** The address of discovery has refused the connection for a call. */
     void unreachable(DiscoveryCall call, String reason) {
         calls.remove(call.number());
         scheduler.unreachable(clock.nowUs(), call.number());
-        ended(reason);
+        over(reason);
     }
 
-    private void ended(String reason) {
+    private void over(String reason) {
         scheduleWake();
         followLease(reason);
         listener.failed(reason);
--- a/src/test/java/kitemux/ServerListLeaseTest.java
+++ b/src/test/java/kitemux/ServerListLeaseTest.java
@@ -97,6 +97,37 @@
         assertEquals(6 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
     }
 
+    @Test
+    void aWatchThatEndsInOrderLeavesTwoSecondsAndPartOfTheGraceAndOneThatIsResetAllThatIsLeft() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.watchBroken(SECOND_US);
+        assertEquals(6 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.watchEnded(SECOND_US);
+        assertEquals(3 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.unreachable(2 * SECOND_US);
+        assertEquals(4 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void theEndOfAWatchDoesNotProlongIt() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.watchEnded(5 * SECOND_US);
+        assertEquals(6 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
+    @Test
+    void aListThatHasBegunToComeLeavesPartOfTheGraceUntilItIsWhole() {
+        ServerListLease lease = lease(true);
+        lease.confirmed(0);
+        lease.listBegun(SECOND_US);
+        lease.unreachable(SECOND_US + 100_000);
+        assertEquals(SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+        lease.confirmed(2 * SECOND_US);
+        assertEquals(8 * SECOND_US + LEFT_OF_GRACE_US, lease.endsAtUs());
+    }
+
     @Test
     void whereListsArePushedItEndsWithinTheGraceOnceTheWatchHasEndedAndRefusedDialsHoldItSoLong() {
         ServerListLease lease = lease(false);
