One event for the end of a call, one pass over the connections, no twins behind the lease

The three ends of a call (in order, failed, unreachable) were three near-copies in DiscoveryCall, Discovery and DiscoveryCallScheduler; they are a CallEnd now and one method in each. A check whether a refused dial was for today's address could not fail, as a move ends what is pending, and is gone. ServerListLease has one body for the end of a watch. Discovery tells the lease itself of a list that has begun, which the scheduler only passed on, and a lease is lost in one place, not two.

ServerPool copied all carriers once for each server that leaves; it goes through them once for each list. What may leave is asked in one place. Two equal ways to give a new request up are one.

Tests: the five planted faults of the terms share their assertion; the model of a crowded discovery no longer sums up at each step a time that nothing reads; /up and the 503s stand once.

--- a/src/main/java/kitemux/DiscoveryCallScheduler.java
+++ b/src/main/java/kitemux/DiscoveryCallScheduler.java
@@ -40,6 +40,16 @@
         void close(long call, String reason);
     }
 
+    /** How a call, or the watch that it has become, is over. */
+    public enum CallEnd {
+        /** Discovery has ended it in order. */
+        IN_ORDER,
+        /** It was refused or reset, or what it said cannot be used. */
+        FAILED,
+        /** It could not be made, as discovery's address has refused the connection. */
+        UNREACHABLE
+    }
+
     /** Draws from a range, both ends included. */
     public interface Jitter {
         long between(long least, long most);
@@ -185,34 +195,9 @@
         nextCallAtUs = silentAtUs + jitter.between(0, firstSpreadUs(silentAtUs));
     }
 
-    /** A call could not be made, as discovery's address has refused the connection. */
-    public void unreachable(long nowUs, long call) {
-        lease.unreachable(nowUs);
-        over(nowUs, call);
-    }
-
-    /** Discovery has ended a call in order, or a watch. */
-    public void ended(long nowUs, long call) {
-        if (call == watch) {
-            lease.watchEnded(nowUs);
-        }
-        over(nowUs, call);
-    }
-
-    /** A call has failed, or a watch was reset. */
-    public void failed(long nowUs, long call) {
-        if (call == watch) {
-            lease.watchBroken(nowUs);
-        }
-        over(nowUs, call);
-    }
-
-    /** A list has begun to come on a call, and the rest of it is still to come. */
-    public void listBegun(long nowUs) {
-        lease.listBegun(nowUs);
-    }
-
-    private void over(long nowUs, long call) {
+    /** A call, or the watch, is over by itself. */
+    public void over(long nowUs, long call, CallEnd end) {
+        tellLease(nowUs, call, end);
         if (call == watchElsewhere) {
             watchElsewhere = NO_CALL;
         } else if (call == watch) {
@@ -226,6 +211,16 @@
         }
     }
 
+    private void tellLease(long nowUs, long call, CallEnd end) {
+        if (end == CallEnd.UNREACHABLE) {
+            lease.unreachable(nowUs);
+        } else if (call == watch && end == CallEnd.IN_ORDER) {
+            lease.watchEnded(nowUs);
+        } else if (call == watch) {
+            lease.watchBroken(nowUs);
+        }
+    }
+
     /** A fleet that is too large to be served together has to come ever more rarely, or it is never served. */
     private int doublings() {
         return Math.max(0, Math.min(MOST_DOUBLINGS, failures - FAILURES_UNDOUBLED));
--- a/src/main/java/kitemux/ServerListLease.java
+++ b/src/main/java/kitemux/ServerListLease.java
@@ -99,14 +99,17 @@
 
     /** Discovery has ended the watch in order. */
     public void watchEnded(long nowUs) {
-        proofUs = terms.endedWatchUs;
-        endsAtUs = Math.min(endsAtUs, nowUs + terms.endedWatchUs);
+        watchIsOver(nowUs, terms.endedWatchUs);
     }
 
     /** The watch was reset. */
     public void watchBroken(long nowUs) {
-        proofUs = terms.brokenWatchUs;
-        endsAtUs = Math.min(endsAtUs, nowUs + terms.brokenWatchUs);
+        watchIsOver(nowUs, terms.brokenWatchUs);
+    }
+
+    private void watchIsOver(long nowUs, long heldUs) {
+        proofUs = heldUs;
+        endsAtUs = Math.min(endsAtUs, nowUs + heldUs);
     }
 
     /** A list has begun to come that has not come whole. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -558,13 +558,8 @@
         Call call = new Call(request, set, now);
         calls.put(request.id(), call);
         call.value = value(call);
-        if (!isLeaseHeld()) {
-            refusedWithoutLease++;
-            giveUp(call);
-            scheduleWake();
-            return;
-        }
-        if (sparse && random.nextDouble() >= admitted(call)) {
+        refusedWithoutLease += isLeaseHeld() ? 0 : 1;
+        if (!isLeaseHeld() || sparse && random.nextDouble() >= admitted(call)) {
             giveUp(call);
             scheduleWake();
             return;
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.Future;
 
 import kitemux.DiscoveryCallScheduler;
+import kitemux.DiscoveryCallScheduler.CallEnd;
 import kitemux.DiscoveryCallScheduler.Timing;
 import kitemux.ServerListLease;
 
@@ -160,42 +161,40 @@
 
     // ---------------------------------------------------------------- the lease
 
-    /** Passes on a change of the lease's end, and logs when it is granted or lost. */
+    /** Passes on a change of the lease's end. */
     private void followLease(String reason) {
-        long untilUs = lease.endsAtUs();
-        if (untilUs == leasedUntilUs) {
-            return;
+        if (lease.endsAtUs() != leasedUntilUs) {
+            leasedUntilUs = lease.endsAtUs();
+            passOnLease(reason);
         }
+    }
+
+    /** Tells the listener how long the lease is held, and logs when it is granted or lost. */
+    private void passOnLease(String reason) {
         boolean wasHeld = leaseEnd != null;
         if (wasHeld) {
             leaseEnd.cancel(false);
-            leaseEnd = null;
         }
-        leasedUntilUs = untilUs;
-        long leftUs = untilUs - clock.nowUs();
-        if (leftUs > 0) {
-            leaseEnd = loop.schedule(this::endLease, leftUs, TimeUnit.MICROSECONDS);
-        }
-        if (!wasHeld && leftUs > 0) {
+        long leftUs = leasedUntilUs - clock.nowUs();
+        boolean isHeld = leftUs > 0;
+        leaseEnd = isHeld ? loop.schedule(this::endLease, leftUs, TimeUnit.MICROSECONDS) : null;
+        if (isHeld && !wasHeld) {
             grants++;
             logLease("granted", reason);
-        } else if (wasHeld && leftUs <= 0) {
+        } else if (wasHeld && !isHeld) {
             losses++;
             logLease("lost", reason);
         }
-        listener.leased(untilUs);
+        listener.leased(leasedUntilUs);
     }
 
     private void endLease() {
         if (lease.isHeld(clock.nowUs())) {
             // Timers may be early by a fraction of a millisecond.
             leaseEnd = loop.schedule(this::endLease, 1, TimeUnit.MILLISECONDS);
-            return;
+        } else {
+            passOnLease("nothing vouches for the list");
         }
-        leaseEnd = null;
-        losses++;
-        logLease("lost", "nothing vouches for the list");
-        listener.leased(leasedUntilUs);
     }
 
     private void logLease(String action, String reason) {
@@ -241,45 +240,22 @@
 
     /** A list has begun to come, and the rest of it is still to come. */
     void listBegun() {
-        scheduler.listBegun(clock.nowUs());
+        lease.listBegun(clock.nowUs());
         followLease("a list has not come whole");
     }
 
-    /** A call has failed, or a watch was reset. */
-    void failed(DiscoveryCall call, String reason) {
+    /** A call or a watch is over by itself. */
+    void over(DiscoveryCall call, CallEnd end, String reason) {
         calls.remove(call.number());
-        scheduler.failed(clock.nowUs(), call.number());
-        over(reason);
-    }
-
-    /** Discovery has ended a call or a watch in order. */
-    void ended(DiscoveryCall call, String reason) {
-        calls.remove(call.number());
-        scheduler.ended(clock.nowUs(), call.number());
-        over(reason);
-    }
-
-    /** The address of discovery has refused the connection for a call. */
-    void unreachable(DiscoveryCall call, String reason) {
-        calls.remove(call.number());
-        scheduler.unreachable(clock.nowUs(), call.number());
-        over(reason);
-    }
-
-    private void over(String reason) {
+        scheduler.over(clock.nowUs(), call.number(), end);
         scheduleWake();
         followLease(reason);
         listener.failed(reason);
     }
 
-    /** Whether discovery still is at the place of this number. */
-    boolean isAt(int numberOfPlace) {
-        return numberOfPlace == place;
-    }
-
     /** Whether a heartbeat as a call's first word says that the list that is known still holds. */
     boolean holdsListOf(DiscoveryCall call) {
-        return isAt(call.place()) && versionIsOfThisPlace;
+        return call.place() == place && versionIsOfThisPlace;
     }
 
     /**
--- a/src/main/java/kitemux/node/DiscoveryCall.java
+++ b/src/main/java/kitemux/node/DiscoveryCall.java
@@ -23,6 +23,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
+import kitemux.DiscoveryCallScheduler.CallEnd;
+
 /** One call to discovery on a connection of its own, and the watch that it becomes once it has said something. */
 final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject> {
     private static final int OK = 200;
@@ -71,7 +73,7 @@
             return;
         }
         if (!opening.isSuccess()) {
-            failToConnect(opening.cause());
+            over(endOfDial(opening.cause()), "no connection: " + opening.cause().getMessage());
             return;
         }
         connectedAtUs = clock.nowUs();
@@ -97,29 +99,20 @@
      * A refusal is the other machine's word that nothing listens there. A dial that is never answered, or for which
      * this machine had no descriptor, port or route, says nothing of discovery.
      */
-    private void failToConnect(Throwable cause) {
-        String reason = "no connection: " + cause.getMessage();
-        boolean isRefused = cause instanceof ConnectException && reason.contains(REFUSED);
-        // The old address of a discovery that has moved is not where it could be reached.
-        if (isRefused && discovery.isAt(place)) {
-            end(reason);
-            discovery.unreachable(this, reason);
-        } else {
-            fail(reason);
-        }
+    private static CallEnd endOfDial(Throwable cause) {
+        boolean isRefused = cause instanceof ConnectException
+                && String.valueOf(cause.getMessage()).contains(REFUSED);
+        return isRefused ? CallEnd.UNREACHABLE : CallEnd.FAILED;
     }
 
-    private void endInOrder(String reason) {
-        if (!ended) {
-            end(reason);
-            discovery.ended(this, reason);
-        }
+    private void fail(String reason) {
+        over(CallEnd.FAILED, reason);
     }
 
-    private void fail(String reason) {
+    private void over(CallEnd how, String reason) {
         if (!ended) {
             end(reason);
-            discovery.failed(this, reason);
+            discovery.over(this, how, reason);
         }
     }
 
@@ -140,7 +133,7 @@
         } else if (message instanceof HttpContent content) {
             read(content.content());
             if (message instanceof LastHttpContent) {
-                endInOrder("watch ended");
+                over(CallEnd.IN_ORDER, "watch ended");
             }
         }
     }
@@ -231,7 +224,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        endInOrder("connection ended");
+        over(CallEnd.IN_ORDER, "connection ended");
     }
 
     @Override
--- a/src/main/java/kitemux/node/ServerChannel.java
+++ b/src/main/java/kitemux/node/ServerChannel.java
@@ -15,7 +15,10 @@
     private boolean writtenWhole;
     private boolean writtenInPart;
 
-    /** To be called before a message is written: {@link #isWrittenWhole} and {@link #isWrittenInPart} speak of it from here on. */
+    /**
+     * To be called before a message is written: {@link #isWrittenWhole} and {@link #isWrittenInPart} speak of it from
+     * here on.
+     */
     final void beginMessage() {
         writtenWhole = false;
         writtenInPart = false;
--- a/src/main/java/kitemux/node/ServerConnection.java
+++ b/src/main/java/kitemux/node/ServerConnection.java
@@ -96,7 +96,7 @@
         upstream.idle.push(this);
         Exchange next;
         while ((next = upstream.awaiting.poll()) != null) {
-            if (pool.mayRoute() && next.isWanted()) {
+            if (pool.mayLeave(next)) {
                 carry(next);
                 return;
             }
@@ -125,19 +125,15 @@
         return channel.isWrittenWhole();
     }
 
-    /** Ends an exchange of which nothing has left, as with a full buffer: its server must get no more requests. */
+    /** Ends an exchange of which nothing has left, as with a full buffer, if its server must get no more requests. */
     void withdrawUnsent() {
-        if (state == State.ACTIVE && !channel.isWrittenInPart()) {
+        boolean mayLeave = pool.mayRoute() && upstream.isReady();
+        if (!mayLeave && state == State.ACTIVE && !channel.isWrittenInPart()) {
             close();
             end(Result.MOOT, NO_BODY);
         }
     }
 
-    /** Whether it leads to this server. */
-    boolean leadsTo(Upstream server) {
-        return upstream == server;
-    }
-
     /** Closes without a word on the exchange, which is given up. */
     void giveUp() {
         exchange = null;
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -80,30 +80,25 @@
             if (host.entry().state() == ServerState.GONE) {
                 remove(id);
             } else {
-                Upstream upstream = upstreams.computeIfAbsent(id, Upstream::new);
-                upstream.follow(host, host.entry().state() == ServerState.READY);
-                if (!upstream.isReady()) {
-                    withdrawUnsent(upstream);
-                }
+                upstreams
+                        .computeIfAbsent(id, Upstream::new)
+                        .follow(host, host.entry().state() == ServerState.READY);
             }
         }
         missing.keySet().forEach(this::remove);
+        withdrawUnsent();
     }
 
     private void remove(String id) {
         Upstream upstream = upstreams.remove(id);
         if (upstream != null) {
             upstream.remove();
-            withdrawUnsent(upstream);
         }
     }
 
-    private void withdrawUnsent(Upstream upstream) {
-        for (ServerConnection connection : List.copyOf(carriers.values())) {
-            if (connection.leadsTo(upstream)) {
-                connection.withdrawUnsent();
-            }
-        }
+    /** Ends what is carried, may not leave any more, and has not begun to. */
+    private void withdrawUnsent() {
+        List.copyOf(carriers.values()).forEach(ServerConnection::withdrawUnsent);
     }
 
     /** The list may be used until a time. Once that is past, what has not left for a server never does. */
@@ -111,7 +106,7 @@
         routeUntilUs = untilUs;
         if (!mayRoute()) {
             upstreams.values().forEach(Upstream::turnAwayAll);
-            List.copyOf(carriers.values()).forEach(ServerConnection::withdrawUnsent);
+            withdrawUnsent();
         }
     }
 
@@ -120,12 +115,17 @@
         return clock.nowUs() < routeUntilUs;
     }
 
+    /** Whether an exchange may leave for a server that is ready. */
+    boolean mayLeave(Exchange exchange) {
+        return mayRoute() && exchange.isWanted();
+    }
+
     // ---------------------------------------------------------------- exchanges
 
     /** Starts an exchange; the connection that carries it tells its end. */
     void start(String serverId, Exchange exchange) {
         Upstream upstream = upstreams.get(serverId);
-        if (upstream == null || !upstream.isReady() || !mayRoute() || !exchange.isWanted()) {
+        if (upstream == null || !upstream.isReady() || !mayLeave(exchange)) {
             exchange.ended(Result.MOOT, NO_BODY);
             return;
         }
--- a/src/test/java/kitemux/CrowdedDiscovery.java
+++ b/src/test/java/kitemux/CrowdedDiscovery.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 
 import kitemux.Balancer.Settings;
+import kitemux.DiscoveryCallScheduler.CallEnd;
 import kitemux.DiscoveryCallScheduler.Timing;
 
 /**
@@ -28,9 +29,8 @@
      *
      * @param leasedAtUs when each first had a lease, in order; those that never had one are missing
      * @param calls how many calls all of them made
-     * @param unleasedUs how long all of them together were without a lease
      */
-    record Result(List<Long> leasedAtUs, int calls, long unleasedUs) {
+    record Result(List<Long> leasedAtUs, int calls) {
         /** When so large a part of the nodes had a lease, in seconds; infinite if fewer ever had. */
         double leasedBy(double part, int nodes) {
             int count = (int) Math.ceil(part * nodes);
@@ -66,14 +66,13 @@
     }
 
     private final class NodeClient implements DiscoveryCallScheduler.Calls {
-        private final ServerListLease lease;
         private final DiscoveryCallScheduler scheduler;
         private final List<Long> open = new ArrayList<>();
+        private long watch = -1;
         private long firstLeasedUs = -1;
-        private long unleasedUs;
 
         NodeClient(Settings settings, SplittableRandom random) {
-            lease = new ServerListLease(ServerListLease.Terms.of(settings));
+            ServerListLease lease = new ServerListLease(ServerListLease.Terms.of(settings));
             scheduler = new DiscoveryCallScheduler(
                     Timing.of(settings), (least, most) -> random.nextLong(least, most + 1), lease, this);
         }
@@ -96,18 +95,11 @@
         }
 
         private void refuse(long call) {
-            if (open.contains(call) && !isWatch(call)) {
-                open.remove(call);
-                scheduler.failed(nowUs, call);
+            if (call != watch && open.remove(call)) {
+                scheduler.over(nowUs, call, CallEnd.FAILED);
             }
         }
 
-        private long watch = -1;
-
-        private boolean isWatch(long call) {
-            return call == watch;
-        }
-
         private void serve(long call) {
             if (open.contains(call)) {
                 watch = call;
@@ -155,9 +147,6 @@
             long wakeAtUs = first.scheduler.wakeAtUs();
             Event event = events.peek();
             long nextUs = event == null ? wakeAtUs : Math.min(event.atUs, wakeAtUs);
-            for (NodeClient node : nodes) {
-                node.unleasedUs += node.lease.isHeld(nowUs) ? 0 : nextUs - nowUs;
-            }
             nowUs = Math.max(nowUs, nextUs);
             if (event != null && event.atUs <= wakeAtUs) {
                 events.poll().runnable.run();
@@ -170,7 +159,6 @@
                 .filter(atUs -> atUs >= 0)
                 .sorted()
                 .toList();
-        return new Result(
-                leased, calls, nodes.stream().mapToLong(node -> node.unleasedUs).sum());
+        return new Result(leased, calls);
     }
 }
--- a/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
+++ b/src/test/java/kitemux/DiscoveryCallSchedulerTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import kitemux.Balancer.Settings;
+import kitemux.DiscoveryCallScheduler.CallEnd;
 import kitemux.DiscoveryCallScheduler.Jitter;
 import kitemux.DiscoveryCallScheduler.Timing;
 import kitemux.ServerListLease.Terms;
@@ -168,7 +169,7 @@
         private void fail(long call, long afterUs) {
             at(afterUs, call, () -> {
                 open.remove(call);
-                scheduler.failed(nowUs, call);
+                scheduler.over(nowUs, call, CallEnd.FAILED);
             });
         }
 
@@ -178,14 +179,14 @@
                 if (call == watch) {
                     endedAtUs = nowUs;
                 }
-                scheduler.ended(nowUs, call);
+                scheduler.over(nowUs, call, CallEnd.IN_ORDER);
             });
         }
 
         private void cutShort(long call) {
             at(10_000, call, () -> {
                 boundUs = Math.min(boundUs, nowUs);
-                scheduler.listBegun(nowUs);
+                lease.listBegun(nowUs);
             });
             fail(call, 1_000_000);
         }
@@ -195,7 +196,7 @@
                 open.remove(call);
                 missedFromUs = nowUs;
                 endedAtUs = endedAtUs < 0 ? -1 : nowUs;
-                scheduler.unreachable(nowUs, call);
+                scheduler.over(nowUs, call, CallEnd.UNREACHABLE);
             });
         }
 
@@ -310,44 +311,41 @@
         System.out.println("fleet of " + nodes + ": " + visited + " orders of failures walked");
     }
 
+    private static void assertFailsTheWalk(Terms terms, Meets... sequence) {
+        VirtualDiscovery discovery = new VirtualDiscovery(timing(1), terms, SHORTEST, sequence);
+        assertThrows(AssertionError.class, discovery::servedAfterUs);
+    }
+
     /** As before there were leases: a list is used whatever calls meet. */
     @Test
     void aListThatIsUsedForGoodFailsTheWalk() {
         Terms unbounded = terms(Long.MAX_VALUE / 4, Long.MAX_VALUE / 4, Long.MAX_VALUE / 4, Long.MAX_VALUE / 4);
-        VirtualDiscovery discovery = new VirtualDiscovery(timing(1), unbounded, SHORTEST, Meets.ENDS, Meets.HANGS);
-        assertThrows(AssertionError.class, discovery::servedAfterUs);
+        assertFailsTheWalk(unbounded, Meets.ENDS, Meets.HANGS);
     }
 
     @Test
     void aLeaseWithTheWholeGraceFailsTheWalk() {
         Terms withoutReserve = terms(6_500_000, 4_500_000, 2_500_000, 500_000);
-        VirtualDiscovery discovery = new VirtualDiscovery(timing(1), withoutReserve, SHORTEST, Meets.ENDS);
-        assertThrows(AssertionError.class, discovery::servedAfterUs);
+        assertFailsTheWalk(withoutReserve, Meets.ENDS);
     }
 
     @Test
     void aMoveThatEndsNoLeaseFailsTheWalk() {
         Terms withoutMoves = terms(6_300_000, Long.MAX_VALUE / 4, 2_300_000, 300_000);
-        VirtualDiscovery discovery =
-                new VirtualDiscovery(timing(1), withoutMoves, SHORTEST, Meets.BREAKS, Meets.MOVES, Meets.HANGS);
-        assertThrows(AssertionError.class, discovery::servedAfterUs);
+        assertFailsTheWalk(withoutMoves, Meets.BREAKS, Meets.MOVES, Meets.HANGS);
     }
 
     /** What the replay has shown. */
     @Test
     void aWatchThatEndsAndBindsNoSoonerThanOneThatIsSilentFailsTheWalk() {
         Terms withoutEnds = terms(6_300_000, 4_300_000, 6_300_000, 300_000);
-        VirtualDiscovery discovery =
-                new VirtualDiscovery(timing(1), withoutEnds, SHORTEST, Meets.ENDS, Meets.HANGS, Meets.HANGS);
-        assertThrows(AssertionError.class, discovery::servedAfterUs);
+        assertFailsTheWalk(withoutEnds, Meets.ENDS, Meets.HANGS, Meets.HANGS);
     }
 
     @Test
     void aListThatIsCutShortAndBindsNothingFailsTheWalk() {
         Terms withoutParts = terms(6_300_000, 4_300_000, 2_300_000, 6_300_000);
-        VirtualDiscovery discovery =
-                new VirtualDiscovery(timing(1), withoutParts, SHORTEST, Meets.BREAKS, Meets.CUT_SHORT);
-        assertThrows(AssertionError.class, discovery::servedAfterUs);
+        assertFailsTheWalk(withoutParts, Meets.BREAKS, Meets.CUT_SHORT);
     }
 
     /** Records what is asked for, as text. */
@@ -423,7 +421,7 @@
         for (int call = 1; call <= 10; call++) {
             previousUs = scheduler.wakeAtUs();
             scheduler.wake(previousUs);
-            scheduler.failed(previousUs, call);
+            scheduler.over(previousUs, call, CallEnd.FAILED);
             waitUs = scheduler.wakeAtUs() - previousUs;
             assertTrue(call > 5 || waitUs == timing(100).retrySpreadUs(), "call " + call + ": " + waitUs + " us");
         }
@@ -432,7 +430,7 @@
         long nowUs = previousUs + waitUs;
         scheduler.heard(nowUs, 11);
         scheduler.confirmed(nowUs, 11);
-        scheduler.failed(nowUs, 11);
+        scheduler.over(nowUs, 11, CallEnd.FAILED);
         assertTrue(scheduler.wakeAtUs() - nowUs <= timing(100).firstSpreadUs());
     }
 
@@ -447,7 +445,7 @@
         scheduler.heard(nowUs, 1);
         scheduler.confirmed(nowUs, 1);
         if (ends) {
-            scheduler.failed(nowUs + 2_000_000, 1);
+            scheduler.over(nowUs + 2_000_000, 1, CallEnd.FAILED);
         }
         assertTrue(scheduler.wakeAtUs() <= nowUs + terms().listUs() - 1_000_000);
     }
--- a/src/test/java/kitemux/fault/DiscoveryStandIn.java
+++ b/src/test/java/kitemux/fault/DiscoveryStandIn.java
@@ -120,15 +120,9 @@
         switch (fault) {
             case SILENT -> {}
             case HEAD_ONLY -> write(socket, head());
-            case BUSY -> write(socket, busy());
-            case BUSY_LATE -> {
-                Thread.sleep(BUSY_MS);
-                write(socket, busy());
-            }
-            case BUSY_AFTER_TURN -> {
-                Thread.sleep(QUEUE_MS);
-                write(socket, busy());
-            }
+            case BUSY -> refuseAfter(0, socket);
+            case BUSY_LATE -> refuseAfter(BUSY_MS, socket);
+            case BUSY_AFTER_TURN -> refuseAfter(QUEUE_MS, socket);
             case RESET -> socket.setSoLinger(true, 0);
             default -> watch(socket, fault, after(path));
         }
@@ -138,8 +132,9 @@
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     }
 
-    private static String busy() {
-        return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    private static void refuseAfter(long waitMs, Socket socket) throws IOException, InterruptedException {
+        Thread.sleep(waitMs);
+        write(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
     }
 
     private static int after(String requestLine) {
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -211,14 +211,14 @@
         CountDownLatch answer = new CountDownLatch(1);
         try (FarServer server = FarServer.servingFrom(answer, "late");
                 Site site = Site.quiet().start(server)) {
-            assertEquals(200, site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+            assertEquals(200, site.ask(Http.UP).status());
             Socket client = site.connect();
             Socket idle = site.connect();
             Site.write(client, Http.page("/api/x", "t", "5000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
             site.node.drain(new ShutdownSchedule(600_000, 20_000_000), done::countDown);
-            Http.Message up = site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+            Http.Message up = site.ask(Http.UP);
             assertEquals(503, up.status());
             assertEquals("close", up.headers().get("connection"));
             // The end of an idle connection tells that nothing new is taken; what is held is still answered.
--- a/src/test/java/kitemux/node/Http.java
+++ b/src/test/java/kitemux/node/Http.java
@@ -11,6 +11,9 @@
 
 /** HTTP/1.1 messages as bytes, for the far sides of a node under test. */
 final class Http {
+    /** What the front asks to learn whether a node is ready. */
+    static final String UP = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+
     private Http() {}
 
     /** A message; header names are in small letters. */
--- a/src/test/java/kitemux/node/LeaseTest.java
+++ b/src/test/java/kitemux/node/LeaseTest.java
@@ -15,7 +15,6 @@
 @Timeout(60)
 class LeaseTest {
     private static final long PAST_LEASE_US = 20_000_000;
-    private static final String UP = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
 
     /** A discovery whose calls have no answer until a latch opens. */
     private static Site answeredFrom(CountDownLatch start) throws Exception {
@@ -32,13 +31,13 @@
         try (FarServer server = FarServer.serving("x");
                 Site site = answeredFrom(start)) {
             site.startUnconfirmed(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
-            assertEquals(503, site.ask(UP).status());
+            assertEquals(503, site.ask(Http.UP).status());
             Http.Message refusal = site.ask(Http.order("early", "5000m"));
             assertEquals(503, refusal.status());
             assertEquals("0.25", refusal.headers().get("retry-after"));
             start.countDown();
             site.awaitLease();
-            assertEquals(200, site.ask(UP).status());
+            assertEquals(200, site.ask(Http.UP).status());
             assertEquals(200, site.ask(Http.order("late", "5000m")).status());
             assertEquals(1, server.requests.size());
         }
@@ -57,7 +56,7 @@
             FarServer.next(server.requests);
             clock.advance(PAST_LEASE_US);
             assertEquals(503, site.ask(Http.page("/api/p", "new", "5000m")).status());
-            assertEquals(200, site.ask(UP).status());
+            assertEquals(200, site.ask(Http.UP).status());
             answered.countDown();
             assertEquals(200, Http.read(out.getInputStream()).status());
             assertTrue(server.requests.isEmpty());
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -187,7 +187,7 @@
                 InetSocketAddress address = NodeConfig.address("listen", listen);
                 Socket early = new Socket(address.getAddress(), address.getPort());
                 // Discovery answers nobody: the node is not ready at once, but in the end.
-                while (Site.ask(early, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status() != 200) {
+                while (Site.ask(early, Http.UP).status() != 200) {
                     Thread.onSpinWait();
                 }
                 for (int i = 0; i < 100; i++) {
