--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -280,6 +282,8 @@
     static final class AppServer {
         final ServerSocket listener;
         final String uid;
+        private final int port;
+        private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
         AppServer(String uid, Handler handler) throws IOException {
             this(uid, new ServerSocket(0, 200, loopback()), handler);
@@ -288,6 +292,7 @@
         AppServer(String uid, ServerSocket listener, Handler handler) {
             this.uid = uid;
             this.listener = listener;
+            port = listener.getLocalPort();
             if (handler != null) {
                 Kit.start(() -> acceptAll(handler));
             }
@@ -296,7 +301,14 @@
         void acceptAll(Handler handler) throws IOException {
             while (true) {
                 Socket socket = listener.accept();
-                Kit.start(() -> serve(socket, handler));
+                sockets.add(socket);
+                Kit.start(() -> {
+                    try {
+                        serve(socket, handler);
+                    } finally {
+                        sockets.remove(socket);
+                    }
+                });
             }
         }
 
@@ -315,8 +327,18 @@
             }
         }
 
+        /** Ends, as a process that exits: its connections are reset and new ones are refused. */
+        void end() throws IOException {
+            listener.close();
+            for (Socket socket : sockets) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            log(uid + " ends");
+        }
+
         String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
+            return "127.0.0.1:" + port;
         }
 
         String entry(String zone, String state) {
