--- a/src/main/java/loadbalancer/policy/health/UnresponsiveAttemptDetector.java
+++ b/src/main/java/loadbalancer/policy/health/UnresponsiveAttemptDetector.java
@@ -20,6 +20,9 @@
      */
     private static final double UNRESPONSIVE_AFTER_MEAN_LATENCIES = 4;
 
+    /** While the mean latency is not known, no check is due that would remove attempts that have ended. */
+    private static final int MAX_UNCHECKED_ATTEMPTS = 1_024;
+
     /** Used while the mean latency is not known yet; small enough that a sum with a time does not overflow. */
     private static final long NEVER_US = Long.MAX_VALUE / 4;
 
@@ -50,7 +53,18 @@
 
     /** Adds an attempt that has just begun. */
     public void watch(PendingRequest request, Attempt attempt) {
-        watched.get(request.classIndex()).add(new WatchedAttempt(request, attempt));
+        ArrayDeque<WatchedAttempt> classAttempts = watched.get(request.classIndex());
+        if (classAttempts.size() >= MAX_UNCHECKED_ATTEMPTS) {
+            removeEnded(classAttempts);
+        }
+        classAttempts.add(new WatchedAttempt(request, attempt));
+    }
+
+    /** Removes the oldest attempts up to the first one that is in flight. */
+    private static void removeEnded(ArrayDeque<WatchedAttempt> classAttempts) {
+        while (!classAttempts.isEmpty() && classAttempts.peek().hasEnded()) {
+            classAttempts.poll();
+        }
     }
 
     /** Reports the attempts that have become unresponsive. The listener may call {@link #watch} meanwhile. */
@@ -85,6 +99,11 @@
         return nextUs;
     }
 
+    /** Returns the number of attempts that the detector refers to, including some that have ended. */
+    int watchedCount() {
+        return watched.stream().mapToInt(ArrayDeque::size).sum();
+    }
+
     private long unresponsiveAtUs(WatchedAttempt watchedAttempt, int classIndex) {
         return watchedAttempt.attempt.startedAtUs() + unresponsiveAfterUs(classIndex);
     }
--- a/src/main/java/loadbalancer/proxy/config/ConfigurationFile.java
+++ b/src/main/java/loadbalancer/proxy/config/ConfigurationFile.java
@@ -27,9 +27,11 @@
     private static final String SETTINGS_FIELD = "settings";
     private static final String LIMITS_FIELD = "limits";
     private static final String MAX_DESCRIPTORS_FIELD = "sockets";
+    private static final String MAX_MEMORY_FIELD = "memory_mb";
     private static final String UPSTREAM_IDLE_TIMEOUT_FIELD = "connIdleUs";
 
     private static final int MIN_DESCRIPTORS = 64;
+    private static final double BYTES_PER_MB = 1 << 20;
     private static final long DEFAULT_UPSTREAM_IDLE_TIMEOUT_US = 15_000_000;
     private static final int SEED_RADIX = 16;
 
@@ -61,6 +63,7 @@
         }
         LoadBalancerSettings settings = parseSettings();
         int maxDescriptors = parseMaxDescriptors();
+        long maxMemoryBytes = parseMaxMemoryBytes();
         long upstreamIdleTimeoutUs = parseUpstreamIdleTimeoutUs();
         String listen =
                 env.getOrDefault(LISTEN_VARIABLE, json.path(LISTEN_FIELD).asText());
@@ -71,6 +74,7 @@
                 ProxyConfiguration.parseAddress(DISCOVERY_FIELD, discovery),
                 parseSeed(),
                 maxDescriptors,
+                maxMemoryBytes,
                 upstreamIdleTimeoutUs,
                 parseCachedEndpoints(settings.zones),
                 settings);
@@ -120,6 +124,17 @@
         return maxDescriptors.asInt();
     }
 
+    private long parseMaxMemoryBytes() throws ConfigurationException {
+        JsonNode maxMemoryMb = json.path(LIMITS_FIELD).path(MAX_MEMORY_FIELD);
+        if (maxMemoryMb.isMissingNode() || maxMemoryMb.isNull()) {
+            return Long.MAX_VALUE;
+        }
+        if (!maxMemoryMb.isNumber() || !(maxMemoryMb.asDouble() > 0)) {
+            throw new ConfigurationException(LIMITS_FIELD + "." + MAX_MEMORY_FIELD, "is not a number above 0");
+        }
+        return (long) (maxMemoryMb.asDouble() * BYTES_PER_MB);
+    }
+
     private long parseUpstreamIdleTimeoutUs() throws ConfigurationException {
         long timeoutUs = json.path(SETTINGS_FIELD)
                 .path(LIMITS_FIELD)
--- a/src/main/java/loadbalancer/proxy/config/ProxyConfiguration.java
+++ b/src/main/java/loadbalancer/proxy/config/ProxyConfiguration.java
@@ -17,6 +17,7 @@
  * @param discovery the address of discovery; null for an instance that never replaces its cached endpoint list
  * @param seed the seed of random numbers, which differs between starts
  * @param maxDescriptors the maximum number of file descriptors that the process may have open
+ * @param maxMemoryBytes the maximum memory of the process; {@link Long#MAX_VALUE} if it is not limited
  * @param upstreamIdleTimeoutUs the time in microseconds after which endpoints close idle connections
  * @param cachedEndpoints the last endpoint list that the instance had before it was started
  * @param settings the settings of the policy
@@ -26,6 +27,7 @@
         InetSocketAddress discovery,
         long seed,
         int maxDescriptors,
+        long maxMemoryBytes,
         long upstreamIdleTimeoutUs,
         EndpointList cachedEndpoints,
         LoadBalancerSettings settings) {
@@ -68,6 +70,7 @@
                 null,
                 seed,
                 maxDescriptors,
+                maxMemoryBytes,
                 upstreamIdleTimeoutUs,
                 endpoints,
                 warmUpSettings);
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -30,6 +30,7 @@
 import loadbalancer.proxy.logging.LogEvent;
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.HeapBuffers;
+import loadbalancer.proxy.resources.HeapReadAllocator;
 
 /**
  * The client of discovery. Opens and closes the calls that {@link DiscoveryCallScheduler} schedules, and passes their
@@ -95,6 +96,7 @@
                 .group(loop)
                 .channelFactory(channelFactory)
                 .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReadAllocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListParser.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListParser.java
@@ -20,6 +20,9 @@
     /** The space for 3,200 indented entries of half a kilobyte each. */
     private static final int MAX_OBJECT_BYTES = 3_200 * 512;
 
+    /** The tokens of 3,200 entries with as many unknown fields as known ones. */
+    private static final int MAX_OBJECT_TOKENS = 3_200 * 32;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final JsonParser parser;
@@ -29,6 +32,7 @@
 
     private int depth;
     private int bytesSinceLastObject;
+    private int tokensOfObject;
 
     EndpointListParser() {
         try {
@@ -58,6 +62,7 @@
         while ((token = parser.nextToken()) != JsonToken.NOT_AVAILABLE) {
             append(token);
             if (depth == 0) {
+                checkTokenCount();
                 objects.add(JSON.readTree(partialObject.asParser()));
                 partialObject = null;
             }
@@ -72,8 +77,12 @@
                 throw new IOException("expected a JSON object but found " + token);
             }
             partialObject = new TokenBuffer(JSON, false);
+            tokensOfObject = 0;
+        }
+        tokensOfObject++;
+        if (tokensOfObject <= MAX_OBJECT_TOKENS) {
+            partialObject.copyCurrentEvent(parser);
         }
-        partialObject.copyCurrentEvent(parser);
         if (token.isStructStart()) {
             depth++;
         } else if (token.isStructEnd()) {
@@ -81,6 +90,13 @@
         }
     }
 
+    /** Fails if an object has so many tokens that they were not kept: they take up far more memory than their bytes. */
+    private void checkTokenCount() throws IOException {
+        if (tokensOfObject > MAX_OBJECT_TOKENS) {
+            throw new IOException("a JSON object exceeds " + MAX_OBJECT_TOKENS + " tokens");
+        }
+    }
+
     /**
      * Fails if an object is too long. A heartbeat, which is white space between objects, does not count as part of one.
      */
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -12,12 +12,10 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 import loadbalancer.proxy.logging.EventLog;
 import loadbalancer.proxy.logging.LogEvent;
-import loadbalancer.proxy.protocol.HttpProtocol;
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.ConnectionLimits;
 
@@ -30,11 +28,11 @@
 
     private final DownstreamServer server;
     private final Clock clock;
-    private final ClientRequestParser parser;
     private final ClientRequestHandler handler;
     private final ClientChannel channel;
     private final ClientRequestReader reader;
     private final RequestPipeline pipeline = new RequestPipeline();
+    private final ClientConnectionMemory memory;
 
     private ClientConnectionPhase phase = ClientConnectionPhase.IDLE;
     /** When the proxy began to wait for the client to send a request or to receive the response. */
@@ -50,11 +48,11 @@
             ClientChannel channel) {
         this.server = server;
         this.clock = clock;
-        this.parser = parser;
         this.handler = handler;
         this.channel = channel;
         waitingForClientSinceUs = clock.nowUs();
-        reader = new ClientRequestReader(this, channel, clock, waitingForClientSinceUs);
+        reader = new ClientRequestReader(this, channel, parser, clock, waitingForClientSinceUs);
+        memory = server.newMemory(reader, pipeline);
     }
 
     /**
@@ -106,39 +104,37 @@
         if (next == null) {
             return;
         }
+        phase = phase.onRequest();
         if (!pipeline.isOverLimit()) {
             reader.resume();
         }
-        phase = phase.onRequest();
-        if (next.error() == null) {
+        if (!next.isKeepAlive()) {
+            phase = phase.withoutFurtherRequests();
+        }
+        if (next.rejection() == null) {
             serve(next);
+        } else if (next.rejection().closesConnection()) {
+            reject(next.rejection().status(), next.rejection().reason());
         } else {
-            reject(next.error(), EMPTY_BODY);
+            respond(next.rejection().status(), next.rejection().reason(), 0);
         }
+        onInputMemoryChanged();
     }
 
     private void serve(ReceivedRequest next) {
-        if (!HttpUtil.isKeepAlive(next.head())) {
-            phase = phase.withoutFurtherRequests();
-        }
+        ClientRequest request = next.request();
         try {
-            String path = ClientRequestParser.path(next.head().uri());
-            if (path.equals(HttpProtocol.READINESS_PATH)) {
+            if (request == null) {
                 respondToReadinessCheck();
-            } else if (ClientRequestParser.isApiPath(path)) {
-                ClientRequest request = parser.parse(next.head(), next.body());
+            } else {
                 handler.onRequest(this, request, next.arrivedAtUs());
                 openRequest = request;
-            } else {
-                reject(HttpResponseStatus.NOT_FOUND, EMPTY_BODY);
             }
         } catch (BadRequestException e) {
-            reject(
-                    HttpResponseStatus.BAD_REQUEST,
-                    ClientResponses.reasonOf(e, next.head().method()));
+            reject(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, request.method()));
         } catch (RuntimeException e) {
             // An unexpected exception must not leave the client without a response.
-            EventLog.error("failed to serve request " + next.head().uri(), e);
+            EventLog.error("failed to serve request " + (request == null ? "" : request.uri()), e);
             if (openRequest == null) {
                 respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, EMPTY_BODY, 0);
             }
@@ -171,6 +167,8 @@
     public void respond(HttpResponseStatus status, byte[] content, long retryAfterUs) {
         openRequest = null;
         waitingForClientSinceUs = clock.nowUs();
+        onInputMemoryChanged();
+        memory.reserveResponse(content.length);
         FullHttpResponse response = ClientResponses.finalResponse(status, content, retryAfterUs);
         if (server.isClosing()) {
             channel.readNow();
@@ -190,6 +188,7 @@
      * has been written, because a client may send requests and never read a response.
      */
     private void onResponseWritten(boolean isSuccess) {
+        memory.releaseResponse();
         phase = phase.onResponseWritten();
         waitingForClientSinceUs = clock.nowUs();
         if (pipeline.isEmpty()) {
@@ -210,31 +209,31 @@
     /** Rejects an overdue partial request. Closes the connection if the client has exceeded another timeout. */
     void closeIfTimedOut() {
         reader.rejectIfTimedOut();
-        if (openRequest != null || (reader.isClosed() && !phase.isServing())) {
-            return;
-        }
-        if (phase.isServing()) {
-            if (hasWaitedForClientLongerThan(ConnectionLimits.WRITE_TIMEOUT_MS)) {
-                close(CloseReason.WRITE_TIMEOUT);
-            }
-        } else if (hasNoPendingInput()) {
-            closeIfIdleTimedOut();
-        }
-    }
-
-    private void closeIfIdleTimedOut() {
-        if (reader.hasReceivedRequest()) {
-            if (hasWaitedForClientLongerThan(ConnectionLimits.KEEP_ALIVE_TIMEOUT_MS)) {
-                closeGracefully(CloseReason.KEEP_ALIVE_TIMEOUT);
-            }
-        } else if (hasWaitedForClientLongerThan(ConnectionLimits.READ_TIMEOUT_MS)) {
-            close(CloseReason.READ_TIMEOUT);
+        CloseReason exceeded = openRequest == null ? ClientTimeouts.exceeded(phase, reader, this) : null;
+        if (exceeded == CloseReason.KEEP_ALIVE_TIMEOUT) {
+            closeGracefully(exceeded);
+        } else if (exceeded != null) {
+            close(exceeded);
         }
     }
 
     /** Returns whether the proxy has waited longer than this for the client to send a request or receive a response. */
     boolean hasWaitedForClientLongerThan(long durationMs) {
-        return clock.nowUs() - waitingForClientSinceUs > TimeUnit.MILLISECONDS.toMicros(durationMs);
+        return waitingForClientUs() > TimeUnit.MILLISECONDS.toMicros(durationMs);
+    }
+
+    /** Called after the reader has read or rejected bytes, which changes how much memory they take up. */
+    void onInputMemoryChanged() {
+        memory.update(channel.isActive(), openRequest);
+    }
+
+    ClientConnectionMemory memory() {
+        return memory;
+    }
+
+    /** Returns how long the proxy has waited for the client to send a request or to receive a response. */
+    long waitingForClientUs() {
+        return clock.nowUs() - waitingForClientSinceUs;
     }
 
     /** Returns whether the client is still connected, after reading received bytes to detect a disconnect. */
@@ -283,6 +282,7 @@
         phase = phase.withoutFurtherRequests();
         reader.close();
         pipeline.clear();
+        onInputMemoryChanged();
         server.onClosed(this);
         if (openRequest != null) {
             handler.onClientDisconnected(openRequest);
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
@@ -88,6 +88,49 @@
         return evictFirst(idle) || evictStalled();
     }
 
+    /**
+     * Rejects the requests of the connection whose input has taken up most memory for longest, as the input of a client
+     * that stalls does.
+     *
+     * @return false if no connection has input that can be rejected
+     */
+    boolean rejectLargestInput() {
+        ClientConnection largest = null;
+        for (ClientConnection connection : all()) {
+            if (connection.memory().hasRejectableInput()
+                    && (largest == null
+                            || connection.memory().inputByteSeconds()
+                                    > largest.memory().inputByteSeconds())) {
+                largest = connection;
+            }
+        }
+        if (largest != null) {
+            largest.memory().rejectInput();
+            largest.onInputMemoryChanged();
+        }
+        return largest != null;
+    }
+
+    /**
+     * Closes the connection whose response has not been read for the longest time.
+     *
+     * @return false if all responses are written
+     */
+    boolean closeSlowestReader() {
+        ClientConnection slowest = null;
+        for (ClientConnection connection : busy) {
+            if (connection.memory().hasUnwrittenResponse()
+                    && (slowest == null || connection.waitingForClientUs() > slowest.waitingForClientUs())) {
+                slowest = connection;
+            }
+        }
+        if (slowest != null) {
+            slowest.memory().releaseResponse();
+            slowest.close(CloseReason.OUT_OF_MEMORY_BUDGET);
+        }
+        return slowest != null;
+    }
+
     private static boolean isGracePeriodOver(ClientConnection connection) {
         return connection.hasWaitedForClientLongerThan(ConnectionLimits.NEW_CONNECTION_GRACE_MS);
     }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequest.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequest.java
@@ -29,4 +29,29 @@
         long remainingUs,
         long estimatedWorkUs,
         boolean isRetry,
-        String affinityKey) {}
+        String affinityKey) {
+    /** Returns the request with this body. */
+    ClientRequest withBody(byte[] newBody) {
+        return new ClientRequest(
+                method,
+                uri,
+                transactionId,
+                idempotencyKey,
+                newBody,
+                classIndex,
+                tenantIndex,
+                remainingUs,
+                estimatedWorkUs,
+                isRetry,
+                affinityKey);
+    }
+
+    /** Returns the memory that the texts and the body take up, which the client determines. */
+    int heldBytes() {
+        return uri.length() + transactionId.length() + length(idempotencyKey) + length(affinityKey) + body.length;
+    }
+
+    private static int length(String text) {
+        return text == null ? 0 : text.length();
+    }
+}
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,7 +14,10 @@
 import loadbalancer.proxy.protocol.HttpProtocol;
 import loadbalancer.proxy.resources.ConnectionLimits;
 
-/** Decodes the requests of one connection, and tracks whether a request has arrived in part. */
+/**
+ * Decodes the requests of one connection, and tracks whether a request has arrived in part. While it is paused, it keeps
+ * the bytes of a read that are not decoded yet, which take up less memory than the requests in them.
+ */
 final class ClientRequestDecoder extends HttpRequestDecoder {
     private static final FilteredHeadersFactory HEADERS = new FilteredHeadersFactory(List.of(
             HttpHeaderNames.CONTENT_LENGTH,
@@ -29,7 +33,11 @@
             HttpProtocol.IDEMPOTENCY_KEY_HEADER));
     private static final FilteredHeadersFactory TRAILERS = new FilteredHeadersFactory(List.of());
 
+    private ChannelHandlerContext context;
     private boolean isRequestIncomplete;
+    private boolean isPaused;
+    private boolean isDiscarding;
+    private boolean isDecoding;
 
     ClientRequestDecoder() {
         super(new HttpDecoderConfig()
@@ -43,10 +51,65 @@
         return isRequestIncomplete || actualReadableBytes() > 0;
     }
 
+    boolean isPaused() {
+        return isPaused;
+    }
+
+    /** Sets whether bytes are kept without being decoded. They are decoded with the next read after a pause. */
+    void setPaused(boolean paused) {
+        isPaused = paused;
+    }
+
+    /** Discards all bytes, those that have not been decoded yet and those that are read from now on. */
+    void discardInput() {
+        isDiscarding = true;
+        if (!isDecoding && actualReadableBytes() > 0) {
+            decodeBuffered();
+        }
+    }
+
+    /** Decodes the bytes that are buffered, although no bytes have been read. */
+    private void decodeBuffered() {
+        try {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        } catch (Exception e) {
+            context.fireExceptionCaught(e);
+        }
+    }
+
+    /** Returns the memory that bytes which are not decoded yet take up. */
+    int bufferCapacity() {
+        return internalBuffer().capacity();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext newContext) {
+        context = newContext;
+    }
+
     @Override
-    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+    public void channelRead(ChannelHandlerContext readContext, Object bytes) throws Exception {
+        isDecoding = true;
+        try {
+            super.channelRead(readContext, bytes);
+        } finally {
+            isDecoding = false;
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext decodeContext, ByteBuf bytes, List<Object> messages) throws Exception {
+        if (isDiscarding) {
+            bytes.skipBytes(bytes.readableBytes());
+        } else if (!isPaused) {
+            decodeNext(decodeContext, bytes, messages);
+        }
+    }
+
+    private void decodeNext(ChannelHandlerContext decodeContext, ByteBuf bytes, List<Object> messages)
+            throws Exception {
         int start = bytes.readerIndex();
-        super.decode(context, bytes, messages);
+        super.decode(decodeContext, bytes, messages);
         if (!messages.isEmpty() && messages.get(messages.size() - 1) instanceof LastHttpContent) {
             isRequestIncomplete = false;
         } else if (!isRequestIncomplete) {
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
@@ -22,6 +22,7 @@
     private static final String API_PATH =
             HttpProtocol.API_PATH_PREFIX.substring(0, HttpProtocol.API_PATH_PREFIX.length() - 1);
     private static final int NO_TENANT = -1;
+    private static final byte[] NO_BODY = {};
 
     /** The fraction of the client's remaining time that is reserved for writing and transferring the response. */
     private static final double RESPONSE_TIME_FRACTION = 0.05;
@@ -46,33 +47,57 @@
     }
 
     /** Returns the path of a request target, without the query. */
-    static String path(String uri) {
+    private static String path(String uri) {
         int end = uri.indexOf('?');
         return end < 0 ? uri : uri.substring(0, end);
     }
 
     /** Returns whether requests for the path are forwarded to endpoints. */
-    static boolean isApiPath(String path) {
+    private static boolean isApiPath(String path) {
         return path.startsWith(HttpProtocol.API_PATH_PREFIX) || path.equals(API_PATH);
     }
 
+    /** Parses a head. The proxy rejects a request with an invalid head before it receives the body. */
+    RequestHead parseHead(HttpRequest head) {
+        HttpResponseStatus error = headError(head);
+        if (error != null) {
+            return RequestHead.rejected(error, NO_BODY);
+        }
+        boolean isKeepAlive = HttpUtil.isKeepAlive(head);
+        if (isReadinessPath(head)) {
+            return RequestHead.readinessCheck(isKeepAlive);
+        }
+        try {
+            return RequestHead.forwarded(parse(head, NO_BODY), allowsBody(head.method()), isKeepAlive);
+        } catch (BadRequestException e) {
+            return RequestHead.rejected(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, head.method()));
+        }
+    }
+
+    private static boolean isReadinessPath(HttpRequest head) {
+        return path(head.uri()).equals(HttpProtocol.READINESS_PATH);
+    }
+
     /**
-     * Returns the error status for a request whose head is ambiguous or announces a body that is not allowed, or null if
-     * it is valid. Prevents request smuggling: a peer might find the end of the request elsewhere and read the rest as a
-     * further request.
+     * Returns the error status for a request whose head is ambiguous or announces a body that is not allowed, or whose
+     * target does not exist; null if there is no such error. Prevents request smuggling: a peer might find the end of the
+     * request elsewhere and read the rest as a further request.
      */
-    static HttpResponseStatus headError(HttpRequest head) {
+    private static HttpResponseStatus headError(HttpRequest head) {
         if (!hasSupportedVersion(head) || !isVisibleAscii(head.uri()) || MessageFraming.isAmbiguous(head)) {
             return HttpResponseStatus.BAD_REQUEST;
         }
-        if (path(head.uri()).equals(HttpProtocol.READINESS_PATH) && !isReadinessMethod(head.method())) {
-            return HttpResponseStatus.METHOD_NOT_ALLOWED;
-        }
         long length = HttpUtil.getContentLength(head, 0L);
         if (length > 0 && !allowsBody(head.method())) {
             return HttpResponseStatus.BAD_REQUEST;
         }
-        return length > ConnectionLimits.MAX_REQUEST_BODY_BYTES ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
+        if (length > ConnectionLimits.MAX_REQUEST_BODY_BYTES) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        }
+        if (isReadinessPath(head)) {
+            return isReadinessMethod(head.method()) ? null : HttpResponseStatus.METHOD_NOT_ALLOWED;
+        }
+        return isApiPath(path(head.uri())) ? null : HttpResponseStatus.NOT_FOUND;
     }
 
     private static boolean isReadinessMethod(HttpMethod method) {
@@ -80,7 +105,7 @@
     }
 
     /** Returns whether a request with this method may have a body that is not empty. */
-    static boolean allowsBody(HttpMethod method) {
+    private static boolean allowsBody(HttpMethod method) {
         return method.equals(HttpMethod.POST);
     }
 
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
@@ -1,10 +1,10 @@
 package loadbalancer.proxy.downstream;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -18,6 +18,7 @@
 
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.ConnectionLimits;
+import loadbalancer.proxy.resources.HeapBuffers;
 
 /**
  * Assembles complete requests from the bytes of one connection, and enforces the limits on their size and on the time
@@ -29,24 +30,31 @@
 
     private final ClientConnection connection;
     private final ClientChannel channel;
+    private final ClientRequestParser parser;
     private final Clock clock;
     private final long connectedAtUs;
     private final ClientRequestDecoder decoder = new ClientRequestDecoder();
 
     private InputPhase phase = InputPhase.BETWEEN_REQUESTS;
-    /** Whether reading is paused because too many requests are pipelined. */
-    private boolean isPaused;
     /** Whether a request has been received, either complete or rejected. */
     private boolean hasReceivedRequest;
     /** When the read timeout of the request that has arrived in part began. */
     private long requestStartedAtUs;
+    /** The bytes that have been read since the end of the last request. */
+    private int wireBytes;
 
-    private HttpRequest head;
-    private ByteArrayOutputStream body;
+    private RequestHead head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-    ClientRequestReader(ClientConnection connection, ClientChannel channel, Clock clock, long connectedAtUs) {
+    ClientRequestReader(
+            ClientConnection connection,
+            ClientChannel channel,
+            ClientRequestParser parser,
+            Clock clock,
+            long connectedAtUs) {
         this.connection = connection;
         this.channel = channel;
+        this.parser = parser;
         this.clock = clock;
         this.connectedAtUs = connectedAtUs;
     }
@@ -64,17 +72,26 @@
                     ReferenceCountUtil.release(bytes);
                     return;
                 }
-                if (!phase.hasPartialRequest()) {
-                    phase = phase.onBytes();
-                    // The read timeout of the first request begins when the client connects.
-                    requestStartedAtUs = hasReceivedRequest ? clock.nowUs() : connectedAtUs;
-                }
-                context.fireChannelRead(bytes);
-                phase = phase.onBytesDecoded(head != null || decoder.hasPartialRequest());
+                onBytes(context, (ByteBuf) bytes);
+                connection.onInputMemoryChanged();
             }
         };
     }
 
+    private void onBytes(ChannelHandlerContext context, ByteBuf bytes) {
+        if (!phase.hasPartialRequest()) {
+            phase = phase.onBytes();
+            // The read timeout of the first request begins when the client connects.
+            requestStartedAtUs = hasReceivedRequest ? clock.nowUs() : connectedAtUs;
+        }
+        wireBytes += bytes.readableBytes();
+        context.fireChannelRead(bytes);
+        if (wireBytes > ConnectionLimits.MAX_REQUEST_WIRE_BYTES && !phase.isClosed()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        }
+        phase = phase.onBytesDecoded(head != null || decoder.hasPartialRequest());
+    }
+
     /** Processes the next decoded part of a request. */
     void read(HttpObject part) {
         // When a connection closes, the decoder emits the incomplete request, which gets no response.
@@ -98,11 +115,9 @@
 
     /** Returns false if the request is rejected because of its head. */
     private boolean startRequest(HttpRequest request) {
-        head = request;
-        body = new ByteArrayOutputStream();
-        HttpResponseStatus error = ClientRequestParser.headError(request);
-        if (error != null) {
-            reject(error);
+        head = parser.parseHead(request);
+        if (head.rejection() != null) {
+            reject(head.rejection());
             return false;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -113,37 +128,46 @@
 
     /** Returns false if the request is rejected because its body is too long or not allowed. */
     private boolean appendBody(ByteBuf bytes) {
-        if (bytes.isReadable() && !ClientRequestParser.allowsBody(head.method())) {
+        if (!bytes.isReadable()) {
+            return true;
+        }
+        if (!head.allowsBody()) {
             reject(HttpResponseStatus.BAD_REQUEST);
             return false;
         }
-        if (body.size() + bytes.readableBytes() > ConnectionLimits.MAX_REQUEST_BODY_BYTES) {
+        if (body.readableBytes() + bytes.readableBytes() > ConnectionLimits.MAX_REQUEST_BODY_BYTES) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return false;
         }
-        try {
-            bytes.readBytes(body, bytes.readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("failed to copy a request body in memory", e);
+        if (!body.isReadable()) {
+            body = HeapBuffers.ALLOCATOR.heapBuffer(bytes.readableBytes(), ConnectionLimits.MAX_REQUEST_BODY_BYTES);
         }
+        body.writeBytes(bytes);
         return true;
     }
 
     private void completeRequest() {
-        ReceivedRequest request = ReceivedRequest.complete(head, body.toByteArray(), clock.nowUs());
+        ReceivedRequest request = ReceivedRequest.complete(head, ByteBufUtil.getBytes(body), clock.nowUs());
         resetRequest();
         deliver(request);
     }
 
     private void reject(HttpResponseStatus error) {
+        reject(RequestRejection.closing(error));
+    }
+
+    private void reject(RequestRejection rejection) {
         resetRequest();
         phase = phase.onRequestRejected();
-        deliver(ReceivedRequest.rejected(error, clock.nowUs()));
+        decoder.discardInput();
+        deliver(ReceivedRequest.rejected(rejection, clock.nowUs()));
     }
 
     private void resetRequest() {
         head = null;
-        body = null;
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+        wireBytes = 0;
         // If bytes of the next request have already arrived, its read timeout begins now.
         requestStartedAtUs = clock.nowUs();
     }
@@ -155,25 +179,55 @@
 
     /** Rejects a request that is still incomplete after the read timeout. Has no effect while reading is paused. */
     void rejectIfTimedOut() {
-        if (phase == InputPhase.IN_REQUEST && !isPaused && clock.nowUs() - requestStartedAtUs > READ_TIMEOUT_US) {
+        if (phase == InputPhase.IN_REQUEST
+                && !decoder.isPaused()
+                && clock.nowUs() - requestStartedAtUs > READ_TIMEOUT_US) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            connection.onInputMemoryChanged();
         }
     }
 
-    /** Stops reading from the socket until {@link #resume} is called. Has no effect once the input is closed. */
+    /**
+     * Returns whether a request that has arrived in part takes up memory. While decoding is paused, the buffered bytes may
+     * be complete requests, which must not be discarded.
+     */
+    boolean hasRejectableInput() {
+        return phase == InputPhase.IN_REQUEST && !decoder.isPaused() && heldBytes() > 0;
+    }
+
+    /** Rejects the request that has arrived in part, to release its memory. The client may safely retry it. */
+    void rejectForLackOfMemory() {
+        if (hasRejectableInput()) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
+    /** Returns the memory that the request which has arrived in part and bytes that are not decoded yet take up. */
+    int heldBytes() {
+        return decoder.bufferCapacity() + body.capacity() + (head == null ? 0 : head.heldBytes());
+    }
+
+    /** Returns for how long the request that has arrived in part has been incomplete. */
+    long incompleteForUs() {
+        return clock.nowUs() - requestStartedAtUs;
+    }
+
+    /** Stops reading and decoding until {@link #resume} is called. Has no effect once the input is closed. */
     void pause() {
         if (!phase.isClosed()) {
-            isPaused = true;
+            decoder.setPaused(true);
             channel.config().setAutoRead(false);
         }
     }
 
-    /** Resumes reading if it is paused, and restarts the read timeout. */
+    /** Resumes reading and decoding if they are paused, and restarts the read timeout. */
     void resume() {
-        if (isPaused) {
-            isPaused = false;
+        if (decoder.isPaused()) {
+            decoder.setPaused(false);
             requestStartedAtUs = clock.nowUs();
             channel.config().setAutoRead(true);
+            // Decodes the bytes that were read before the pause.
+            channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
+++ b/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
@@ -9,6 +9,7 @@
     WRITE_FAILED("write failed"),
     CONNECTION_FAILED("connection failed"),
     EVICTED("evicted"),
+    OUT_OF_MEMORY_BUDGET("out of memory budget"),
     GRACEFUL_SHUTDOWN("graceful shutdown"),
     SHUTDOWN("shutdown");
 
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -16,6 +15,8 @@
 import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.resources.DescriptorBudget;
 import loadbalancer.proxy.resources.HeapBuffers;
+import loadbalancer.proxy.resources.HeapReadAllocator;
+import loadbalancer.proxy.resources.MemoryBudget;
 
 /** The HTTP server for clients. Accepts and tracks their connections, and closes them in a graceful shutdown. */
 public final class DownstreamServer {
@@ -29,6 +30,8 @@
     private final ChannelFactory<ClientListener> listenerFactory;
     private final ClientRequestHandler handler;
     private final ClientConnectionRegistry connections;
+    private final MemoryBudget requestMemory;
+    private final MemoryBudget responseMemory;
 
     private ClientListener listener;
     private ServerPhase phase = ServerPhase.SERVING;
@@ -38,12 +41,17 @@
      * Creates a server that does not listen yet.
      *
      * @param descriptors the budget in which the server counts client connections
+     * @param requestMemory the budget for requests, from which the server reclaims memory by rejecting requests
+     * @param responseMemory the budget for responses, from which the server reclaims memory by closing connections whose
+     *     clients do not read them
      */
     public DownstreamServer(
             EventLoopGroup loop,
             Clock clock,
             ClientRequestParser parser,
             DescriptorBudget descriptors,
+            MemoryBudget requestMemory,
+            MemoryBudget responseMemory,
             ChannelFactory<ClientListener> listenerFactory,
             ClientRequestHandler handler) {
         this.loop = loop;
@@ -52,7 +60,11 @@
         this.descriptors = descriptors;
         this.listenerFactory = listenerFactory;
         this.handler = handler;
+        this.requestMemory = requestMemory;
+        this.responseMemory = responseMemory;
         connections = new ClientConnectionRegistry(descriptors);
+        requestMemory.setReclaimer(connections::rejectLargestInput);
+        responseMemory.setReclaimer(connections::closeSlowestReader);
     }
 
     /** Opens the listener. The returned future fails if the address is in use or no descriptor is left. */
@@ -70,9 +82,7 @@
                 // Reads until the socket is empty, so that a disconnect is detected before a request is served.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
-                                .respectMaybeMoreData(false)
-                                .maxMessagesPerRead(MAX_READS_PER_ITERATION))
+                        new HeapReadAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .handler(new AcceptErrorHandler())
                 .childHandler(new ChannelInitializer<ClientChannel>() {
@@ -102,6 +112,12 @@
         connection.addHandlersTo(channel.pipeline());
     }
 
+    /** Creates the reservations of a new connection. */
+    ClientConnectionMemory newMemory(ClientRequestReader reader, RequestPipeline pipeline) {
+        return new ClientConnectionMemory(
+                reader, pipeline, requestMemory.newReservation(), responseMemory.newReservation());
+    }
+
     /** Called by a connection that receives a request while it serves none. */
     void onRequest(ClientConnection connection) {
         connections.onRequest(connection);
--- a/src/main/java/loadbalancer/proxy/downstream/ReceivedRequest.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ReceivedRequest.java
@@ -1,24 +1,36 @@
 package loadbalancer.proxy.downstream;
 
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-
 /**
- * A complete request, or the error status for an invalid request.
+ * A complete request, or the rejection of a request.
  *
- * @param head the request line and headers, or null for an invalid request
- * @param body the body, which may be empty
+ * @param request the request to forward; null for a readiness check or a rejected request
+ * @param isKeepAlive whether the client keeps the connection for further requests
  * @param arrivedAtUs when its last byte was read, or when it was rejected, in microseconds of the proxy's clock
- * @param error the status of the response to an invalid request, or null for a complete request
+ * @param rejection the response to a rejected request, or null for a request to serve
  */
-record ReceivedRequest(HttpRequest head, byte[] body, long arrivedAtUs, HttpResponseStatus error) {
-    private static final byte[] EMPTY_BODY = {};
+record ReceivedRequest(ClientRequest request, boolean isKeepAlive, long arrivedAtUs, RequestRejection rejection) {
+    /** An estimate of the memory that a request takes up besides its texts and its body. */
+    static final int OVERHEAD_BYTES = 512;
+
+    static ReceivedRequest complete(RequestHead head, byte[] body, long arrivedAtUs) {
+        ClientRequest request = head.request() == null ? null : head.request().withBody(body);
+        return new ReceivedRequest(request, head.isKeepAlive(), arrivedAtUs, null);
+    }
+
+    static ReceivedRequest rejected(RequestRejection rejection, long arrivedAtUs) {
+        return new ReceivedRequest(null, !rejection.closesConnection(), arrivedAtUs, rejection);
+    }
 
-    static ReceivedRequest complete(HttpRequest head, byte[] body, long arrivedAtUs) {
-        return new ReceivedRequest(head, body, arrivedAtUs, null);
+    /** Returns the rejection of this request for lack of memory, or this request if it holds hardly any. */
+    ReceivedRequest rejectedForLackOfMemory() {
+        if (request == null) {
+            return this;
+        }
+        return new ReceivedRequest(null, isKeepAlive, arrivedAtUs, RequestRejection.forLackOfMemory());
     }
 
-    static ReceivedRequest rejected(HttpResponseStatus error, long arrivedAtUs) {
-        return new ReceivedRequest(null, EMPTY_BODY, arrivedAtUs, error);
+    /** Returns an estimate of the memory that the request takes up. */
+    int heldBytes() {
+        return OVERHEAD_BYTES + (request == null ? 0 : request.heldBytes());
     }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/RequestPipeline.java
+++ b/src/main/java/loadbalancer/proxy/downstream/RequestPipeline.java
@@ -7,25 +7,32 @@
 /** The queue of received requests of one connection that are not being served yet, the oldest first. */
 final class RequestPipeline {
     private final ArrayDeque<ReceivedRequest> requests = new ArrayDeque<>();
-    private int bodyBytes;
+    private long heldBytes;
 
     void add(ReceivedRequest request) {
         requests.add(request);
-        bodyBytes += request.body().length;
+        heldBytes += request.heldBytes();
     }
 
     /** Removes and returns the oldest request, or returns null if the queue is empty. */
     ReceivedRequest poll() {
         ReceivedRequest request = requests.poll();
         if (request != null) {
-            bodyBytes -= request.body().length;
+            heldBytes -= request.heldBytes();
         }
         return request;
     }
 
     void clear() {
         requests.clear();
-        bodyBytes = 0;
+        heldBytes = 0;
+    }
+
+    /** Replaces the requests by rejections, in the same order, to release their memory. */
+    void rejectAllForLackOfMemory() {
+        for (int remaining = requests.size(); remaining > 0; remaining--) {
+            add(poll().rejectedForLackOfMemory());
+        }
     }
 
     int size() {
@@ -36,9 +43,19 @@
         return requests.isEmpty();
     }
 
-    /** Returns whether the limit on the number of requests or on the total size of their bodies is exceeded. */
+    /** Returns an estimate of the memory that the requests take up. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns whether any of the requests has texts or a body that a rejection would release. */
+    boolean hasRequestsToForward() {
+        return heldBytes > (long) requests.size() * ReceivedRequest.OVERHEAD_BYTES;
+    }
+
+    /** Returns whether the limit on the number of requests or on their memory is exceeded. */
     boolean isOverLimit() {
         return requests.size() > ConnectionLimits.MAX_PIPELINED_REQUESTS
-                || bodyBytes > ConnectionLimits.MAX_REQUEST_BODY_BYTES;
+                || heldBytes > ConnectionLimits.MAX_PIPELINED_BYTES;
     }
 }
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -41,6 +41,8 @@
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.resources.DescriptorBudget;
+import loadbalancer.proxy.resources.MemoryBudget;
+import loadbalancer.proxy.resources.MemoryLimits;
 import loadbalancer.proxy.routing.Attempt;
 import loadbalancer.proxy.routing.InFlightRequest;
 import loadbalancer.proxy.routing.PolicyEventQueue;
@@ -103,9 +105,13 @@
         clock = dependencies.clock();
         events = new PolicyEventQueue(loop, request -> abandon(request, HttpResponseStatus.INTERNAL_SERVER_ERROR));
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
+        MemoryLimits memoryLimits =
+                MemoryLimits.of(config.maxMemoryBytes(), Runtime.getRuntime().maxMemory());
+        MemoryBudget responseMemory = new MemoryBudget(memoryLimits.responseBytes());
         pool = new UpstreamConnectionPool(
                 loop,
                 descriptors,
+                responseMemory,
                 clock,
                 config.settings().connectTimeoutUs,
                 config.upstreamIdleTimeoutUs(),
@@ -116,6 +122,8 @@
                 clock,
                 new ClientRequestParser(config.settings()),
                 descriptors,
+                new MemoryBudget(memoryLimits.requestBytes()),
+                responseMemory,
                 dependencies.listeners(),
                 new ClientRequestHandler() {
                     @Override
--- a/src/main/java/loadbalancer/proxy/protocol/FilteredHeadersFactory.java
+++ b/src/main/java/loadbalancer/proxy/protocol/FilteredHeadersFactory.java
@@ -8,10 +8,13 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+
+import loadbalancer.proxy.resources.ConnectionLimits;
 
 /**
- * Creates the headers of received messages. They keep only the fields that the proxy reads. All fields are validated, but
- * an unknown field neither takes up memory nor changes how the decoder finds the end of a message.
+ * Creates the headers of received messages. They keep only the fields that the proxy reads. All fields are validated and
+ * counted, but an unknown field neither takes up memory nor changes how the decoder finds the end of a message.
  */
 public final class FilteredHeadersFactory implements HttpHeadersFactory {
     private static final DefaultHttpHeadersFactory VALIDATION = DefaultHttpHeadersFactory.headersFactory();
@@ -34,12 +37,18 @@
     }
 
     private final class FilteredHeaders extends DefaultHttpHeaders {
+        private int fieldCount;
+
         FilteredHeaders() {
             super(VALIDATION.getNameValidator(), VALIDATION.getValueValidator());
         }
 
         @Override
         public HttpHeaders add(CharSequence name, Object value) {
+            fieldCount++;
+            if (fieldCount > ConnectionLimits.MAX_HEADER_FIELDS) {
+                throw new TooLongHttpHeaderException("more than " + ConnectionLimits.MAX_HEADER_FIELDS + " fields");
+            }
             if (retainedNames.contains(name.toString())) {
                 return super.add(name, value);
             }
--- a/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
@@ -8,12 +8,27 @@
     /** The maximum size of a response body. Endpoints send bodies that are larger than the protocol allows. */
     public static final int MAX_RESPONSE_BODY_BYTES = 1 << 20;
 
-    /** The maximum total size of all buffered responses: a quarter of the heap. */
-    public static final int MAX_BUFFERED_RESPONSE_BYTES = 16 << 20;
-
     /** The maximum initial size of a response buffer, even if the response announces a longer body. */
     public static final int INITIAL_RESPONSE_BUFFER_BYTES = 16 << 10;
 
+    /** The maximum number of header fields of a message. */
+    public static final int MAX_HEADER_FIELDS = 100;
+
+    /**
+     * The maximum size of a request on the wire, with its head, chunk lengths and trailers. It allows the longest body in
+     * chunks of one byte.
+     */
+    public static final int MAX_REQUEST_WIRE_BYTES = 8 * MAX_REQUEST_BODY_BYTES;
+
+    /** The maximum number of informational responses before a final response. */
+    public static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
+    /** The maximum size of a read. What is left of it after complete messages stays in memory. */
+    public static final int MAX_READ_BYTES = 16 << 10;
+
+    /** The memory for requests that may wait on one connection before the proxy pauses reading from it. */
+    public static final int MAX_PIPELINED_BYTES = MAX_REQUEST_BODY_BYTES + (16 << 10);
+
     /** The number of received requests that may wait on one connection before the proxy pauses reading from it. */
     public static final int MAX_PIPELINED_REQUESTS = 16;
 
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import loadbalancer.proxy.logging.LogEvent;
 import loadbalancer.proxy.protocol.MessageFraming;
 import loadbalancer.proxy.resources.ConnectionLimits;
+import loadbalancer.proxy.resources.MemoryBudget;
 
 /**
  * A connection to an endpoint. It carries one exchange at a time.
@@ -54,6 +55,10 @@
     private State state = State.IDLE;
     private UpstreamExchange exchange;
     private UpstreamResponse response;
+    private final MemoryBudget.Reservation responseMemory;
+    /** The number of informational responses since the exchange started. */
+    private int informationalResponses;
+
     private long idleSinceUs;
 
     UpstreamConnection(
@@ -62,6 +67,7 @@
         this.upstream = upstream;
         this.generation = generation;
         this.channel = channel;
+        responseMemory = pool.newResponseReservation();
     }
 
     private void transitionTo(State next, State... from) {
@@ -125,6 +131,7 @@
         upstream.idleConnections.remove(this);
         transitionTo(State.ACTIVE, State.IDLE);
         exchange = next;
+        informationalResponses = 0;
         pool.onExchangeStarted(this, next);
         channel.startMessage();
         channel.writeAndFlush(message).addListener(done -> {
@@ -188,9 +195,8 @@
             return;
         }
         if (message instanceof HttpContent content && response != null) {
-            if (!append(content)) {
-                fail("response body exceeds the limit of one response or of all buffered responses");
-            } else if (message instanceof LastHttpContent) {
+            boolean isAppended = append(content);
+            if (isAppended && message instanceof LastHttpContent) {
                 onResponseComplete();
             }
         }
@@ -199,7 +205,12 @@
     /** Handles the head of a response. Returns false if the connection is closed and the rest is ignored. */
     private boolean onResponseHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            return true;
+            informationalResponses++;
+            boolean isAllowed = informationalResponses <= ConnectionLimits.MAX_INFORMATIONAL_RESPONSES;
+            if (!isAllowed) {
+                fail("too many informational responses");
+            }
+            return isAllowed;
         }
         if (!channel.isFullyWritten()) {
             // An endpoint starts to execute a request only after its last byte, which it does not get any more.
@@ -217,18 +228,26 @@
             return false;
         }
         response = new UpstreamResponse(head);
-        return true;
+        return reserveResponseMemory();
     }
 
-    /** Appends content to the response. Returns false if the response exceeds a size limit. */
+    /** Appends content to the response. Returns false if the response exceeds a limit and is abandoned. */
     private boolean append(HttpContent content) {
-        int addedBytes = content.content().readableBytes();
-        if (response.size() + addedBytes > ConnectionLimits.MAX_RESPONSE_BODY_BYTES
-                || !pool.reserveResponseBytes(addedBytes)) {
+        if (response.size() + content.content().readableBytes() > ConnectionLimits.MAX_RESPONSE_BODY_BYTES) {
+            fail("response body exceeds the limit of " + ConnectionLimits.MAX_RESPONSE_BODY_BYTES + " bytes");
             return false;
         }
         response.append(content.content());
-        return true;
+        return reserveResponseMemory();
+    }
+
+    /** Returns false if the response is abandoned, because all responses together exceed the memory budget. */
+    private boolean reserveResponseMemory() {
+        boolean isReserved = responseMemory.resize(response.heldBytes());
+        if (!isReserved) {
+            fail("all buffered responses exceed the memory budget");
+        }
+        return isReserved;
     }
 
     private void onResponseComplete() {
@@ -296,10 +315,8 @@
     }
 
     private void discardResponse() {
-        if (response != null) {
-            pool.releaseResponseBytes(response.size());
-            response = null;
-        }
+        response = null;
+        responseMemory.release();
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -17,9 +17,10 @@
 import loadbalancer.policy.EndpointState;
 import loadbalancer.proxy.config.EndpointList;
 import loadbalancer.proxy.resources.Clock;
-import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.resources.DescriptorBudget;
 import loadbalancer.proxy.resources.HeapBuffers;
+import loadbalancer.proxy.resources.HeapReadAllocator;
+import loadbalancer.proxy.resources.MemoryBudget;
 
 /** The connections to endpoints, each with one exchange at a time; the most recently used idle one is reused first. */
 public final class UpstreamConnectionPool {
@@ -28,6 +29,7 @@
     private final Bootstrap bootstrap;
     private final EventLoop eventLoop;
     private final DescriptorBudget descriptorBudget;
+    private final MemoryBudget responseMemory;
     private final long idleTimeoutUs;
     private final long reuseDelayUs;
     private final Clock clock;
@@ -36,12 +38,11 @@
     private final Map<UpstreamExchange, UpstreamConnection> connectionsByExchange = new HashMap<>();
     /** The time when the lease on the endpoint list expires; no request is sent from then on. */
     private long leaseExpiresAtUs = Long.MAX_VALUE;
-    /** The buffered bytes of all incomplete response bodies. */
-    private int bufferedResponseBytes;
 
     /**
      * Creates a pool without endpoints.
      *
+     * @param responseMemory the budget for responses
      * @param idleTimeoutUs the time for which endpoints keep idle connections open
      * @param reuseDelayUs the time after a response for which a connection carries no new exchange
      * @param channels creates the channels; throws an exception if no file descriptor is available
@@ -49,6 +50,7 @@
     public UpstreamConnectionPool(
             EventLoop eventLoop,
             DescriptorBudget descriptorBudget,
+            MemoryBudget responseMemory,
             Clock clock,
             long connectTimeoutUs,
             long idleTimeoutUs,
@@ -56,6 +58,7 @@
             ChannelFactory<UpstreamChannel> channels) {
         this.eventLoop = eventLoop;
         this.descriptorBudget = descriptorBudget;
+        this.responseMemory = responseMemory;
         this.clock = clock;
         this.idleTimeoutUs = idleTimeoutUs;
         this.reuseDelayUs = reuseDelayUs;
@@ -63,6 +66,7 @@
                 .group(eventLoop)
                 .channelFactory(channels)
                 .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReadAllocator())
                 .option(ChannelOption.TCP_NODELAY, true)
                 // Tells a shutdown of the endpoint's output from a reset: only the former may complete a body.
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -233,17 +237,8 @@
         return descriptorBudget.openSockets();
     }
 
-    /** Reserves buffer memory; returns false if all incomplete responses together would exceed the limit. */
-    boolean reserveResponseBytes(int bytes) {
-        if (bufferedResponseBytes + bytes > ConnectionLimits.MAX_BUFFERED_RESPONSE_BYTES) {
-            return false;
-        }
-        bufferedResponseBytes += bytes;
-        return true;
-    }
-
-    void releaseResponseBytes(int bytes) {
-        bufferedResponseBytes -= bytes;
+    MemoryBudget.Reservation newResponseReservation() {
+        return responseMemory.newReservation();
     }
 
     long nowUs() {
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponse.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponse.java
@@ -41,6 +41,11 @@
         return body.readableBytes();
     }
 
+    /** Returns the memory that the response takes up. */
+    int heldBytes() {
+        return body.capacity();
+    }
+
     void append(ByteBuf more) {
         body.writeBytes(more);
     }
--- a/src/test/java/loadbalancer/faultinjection/ProxyProcess.java
+++ b/src/test/java/loadbalancer/faultinjection/ProxyProcess.java
@@ -64,10 +64,11 @@
         Path next = Files.writeString(
                 folder.resolve("next.json"),
                 """
-                {"listen":"127.0.0.1:%d","discovery":"%s","seed":"7","limits":{"sockets":512},"known":%s,"settings":
+                {"listen":"127.0.0.1:%d","discovery":"%s","seed":"7","limits":{"sockets":1024,"memory_mb":192},"known":%s,"settings":
                  {"balancers":%d,"me":0,"membershipMode":"on_request","zones":["here"],"myZone":"here",
                   "rules":{"askWithinUs":10000000,"drainGraceUs":500000},"limits":{"attemptsCap":3},
-                  "classes":[{"name":"page","onTimeUs":500000,"giveUpUs":2000000,"repeat":"safe"}]}}
+                  "classes":[{"name":"page","onTimeUs":500000,"giveUpUs":2000000,"repeat":"safe"},
+                             {"name":"order","onTimeUs":500000,"giveUpUs":2000000,"repeat":"unsafe"}]}}
                 """
                         .formatted(port, discovery, knownList, fleetSize));
         Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
@@ -103,6 +104,10 @@
                 .waitFor();
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Returns the output of the process so far. */
     String log() {
         return String.join("\n", log);
--- a/src/test/java/loadbalancer/faultinjection/StandInUpstream.java
+++ b/src/test/java/loadbalancer/faultinjection/StandInUpstream.java
@@ -12,11 +12,20 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
+import loadbalancer.testsupport.HttpMessages;
+
 /** Stands in for an endpoint. It serves every request at once and records when the first byte arrived. */
 final class StandInUpstream implements AutoCloseable {
     /** A request that reached an endpoint, and the time of its first byte (nanoseconds of the monotonic clock). */
     record Arrival(String endpointId, String requestId, long firstByteNanos) {}
 
+    /** The path of requests whose response has a body of a million bytes. */
+    static final String LONG_RESPONSE_PATH = "/api/long";
+
+    private static final int LONG_RESPONSE_BYTES = 1_000_000;
+
+    private record ReceivedRequest(String id, String path) {}
+
     private static final String ID_HEADER = "x-txn:";
     private static final String LENGTH_HEADER = "content-length:";
 
@@ -57,20 +66,22 @@
     private void serve(Socket socket) throws IOException {
         socket.setTcpNoDelay(true);
         InputStream in = socket.getInputStream();
-        byte[] body = ("served by " + endpointId).getBytes(StandardCharsets.ISO_8859_1);
-        byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] response = response("served by " + endpointId);
+        byte[] longResponse = response("l".repeat(LONG_RESPONSE_BYTES));
         int firstByte;
         while ((firstByte = in.read()) >= 0) {
             long atNanos = System.nanoTime();
-            String requestId = readRequest(firstByte, in);
-            arrivals.add(new Arrival(endpointId, requestId, atNanos));
-            socket.getOutputStream().write(head);
-            socket.getOutputStream().write(body);
+            ReceivedRequest request = readRequest(firstByte, in);
+            arrivals.add(new Arrival(endpointId, request.id, atNanos));
+            socket.getOutputStream().write(request.path.equals(LONG_RESPONSE_PATH) ? longResponse : response);
         }
     }
 
-    private static String readRequest(int firstByte, InputStream in) throws IOException {
+    private static byte[] response(String body) {
+        return HttpMessages.ok(body).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static ReceivedRequest readRequest(int firstByte, InputStream in) throws IOException {
         StringBuilder head = new StringBuilder().append((char) firstByte);
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
@@ -90,7 +101,7 @@
             }
         }
         in.readNBytes(length);
-        return requestId;
+        return new ReceivedRequest(requestId, head.toString().split(" ", 3)[1]);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/loadbalancer/faultinjection/TimedClient.java
@@ -0,0 +1,107 @@
+package loadbalancer.faultinjection;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import loadbalancer.testsupport.HttpMessages;
+
+/**
+ * A client that sends one valid request after another on a keep-alive connection. If the connection closes without a
+ * response, it sends the request again on another one. A request without a complete response half a second after its
+ * deadline is lost.
+ */
+final class TimedClient implements AutoCloseable {
+    private static final int REMAINING_MS = 2_000;
+    private static final int LOST_AFTER_MS = REMAINING_MS + 500;
+    private static final long REQUEST_PAUSE_MS = 10;
+    private static final int OK = 200;
+
+    private final InetSocketAddress nodeAddress;
+    private final String clientName;
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger unserved = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private volatile boolean closed;
+    /** The open connection, or null. Used on the thread of the client only. */
+    private Socket connection;
+
+    TimedClient(String clientName, InetSocketAddress nodeAddress) {
+        this.clientName = clientName;
+        this.nodeAddress = nodeAddress;
+        StandInThreads.start(this::run);
+    }
+
+    /** Returns the number of requests that were served. */
+    int served() {
+        return served.get();
+    }
+
+    /** Returns the number of requests that got another final response in time. */
+    int unserved() {
+        return unserved.get();
+    }
+
+    /** Returns the number of requests that got no final response in time. */
+    int lost() {
+        return lost.get();
+    }
+
+    private void run() throws InterruptedException {
+        for (int requestNumber = 0; !closed; requestNumber++) {
+            long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LOST_AFTER_MS);
+            while (!sendRequest(clientName + "-" + requestNumber, deadlineNanos)) {
+                closeConnection();
+                if (System.nanoTime() >= deadlineNanos) {
+                    lost.incrementAndGet();
+                    break;
+                }
+            }
+            Thread.sleep(REQUEST_PAUSE_MS);
+        }
+        closeConnection();
+    }
+
+    /** Returns false if there was no complete response, because the connection closed or the deadline has passed. */
+    private boolean sendRequest(String requestId, long deadlineNanos) throws InterruptedException {
+        int remainingMs = (int) TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        if (remainingMs <= 0) {
+            return false;
+        }
+        try {
+            if (connection == null) {
+                connection = new Socket();
+                connection.setTcpNoDelay(true);
+                connection.connect(nodeAddress, remainingMs);
+            }
+            connection.setSoTimeout(remainingMs);
+            String request = HttpMessages.page("/api/page", requestId, REMAINING_MS + "m");
+            connection.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            boolean isServed = HttpMessages.read(connection.getInputStream()).status() == OK;
+            (isServed ? served : unserved).incrementAndGet();
+            return true;
+        } catch (IOException e) {
+            Thread.sleep(REQUEST_PAUSE_MS);
+            return false;
+        }
+    }
+
+    private void closeConnection() {
+        try {
+            if (connection != null) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            // The connection has failed already.
+        }
+        connection = null;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- a/src/test/java/loadbalancer/policy/health/UnresponsiveAttemptDetectorTest.java
+++ b/src/test/java/loadbalancer/policy/health/UnresponsiveAttemptDetectorTest.java
@@ -1,6 +1,7 @@
 package loadbalancer.policy.health;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -54,6 +55,16 @@
         assertEquals(List.of(request.attempt(0)), reported);
     }
 
+    /** Guards against attempts that are kept for as long as no endpoint responds. */
+    @Test
+    void attemptsThatHaveEndedAreForgottenAlthoughTheMeanLatencyIsUnknown() {
+        for (int i = 0; i < 10_000; i++) {
+            PendingRequest request = watchedRequest(0, START_US + i);
+            request.endAttempt(request.attempt(0), AttemptResult.RESET);
+        }
+        assertTrue(detector.watchedCount() <= 1_024, "watched: " + detector.watchedCount());
+    }
+
     @Test
     void eachAttemptIsReportedOnce() {
         recordLatencies(0, 10_000);
--- a/src/test/java/loadbalancer/proxy/config/ProxyConfigurationTest.java
+++ b/src/test/java/loadbalancer/proxy/config/ProxyConfigurationTest.java
@@ -74,6 +74,7 @@
         assertEquals(8500, config.discovery().getPort());
         assertEquals(0x8c1f30d27a5be964L, config.seed());
         assertEquals(1024, config.maxDescriptors());
+        assertEquals(192L << 20, config.maxMemoryBytes());
         assertEquals(60_000_000, config.upstreamIdleTimeoutUs());
         assertEquals(2, config.settings().instances);
         assertEquals(1, config.settings().instanceIndex);
@@ -114,6 +115,8 @@
                 "127.0.0.1:8500 | host.example:8500 | discovery",
                 "8c1f30d27a5be964 | xyz | seed",
                 "\"sockets\":1024 | \"sockets\":\"many\" | limits.sockets",
+                "\"memory_mb\":192 | \"memory_mb\":\"much\" | limits.memory_mb",
+                "\"memory_mb\":192 | \"memory_mb\":0 | limits.memory_mb",
                 "\"onTimeUs\":200000, | '' | settings.classes.0.onTimeUs",
                 "\"keyed\" | \"never\" | settings.classes.0.repeat",
                 "\"me\":1 | \"me\":2 | settings: me",
--- a/src/test/java/loadbalancer/proxy/discovery/EndpointListFormatTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/EndpointListFormatTest.java
@@ -61,6 +61,21 @@
         }
     }
 
+    /** Guards against a list of which each byte takes up many bytes of memory. */
+    @Test
+    void objectThatExceedsTheMaximumNumberOfTokensEndsTheWatch() throws Exception {
+        String empty = "{},".repeat(60_000);
+        String list = "{\"rev\":42,\"all\":true,\"targets\":[" + empty + "{}]}";
+        try (ProxyFixture proxy = new ProxyFixture(new ScriptedHttpServer(
+                (request, peer) -> peer.write(ProxyFixture.watchResponseHead() + ProxyFixture.chunk(list))))) {
+            RecordedDiscovery recorded = RecordedDiscovery.start(proxy, RecordedDiscovery.DEFAULT_TIMING);
+            assertEquals(RecordedDiscovery.CALL_ENDED, ScriptedHttpServer.next(recorded.events));
+            assertEquals(
+                    "malformed endpoint list: a JSON object exceeds 102400 tokens",
+                    ScriptedHttpServer.next(recorded.endReasons));
+        }
+    }
+
     @Test
     void objectThatExceedsTheMaximumLengthEndsTheWatch() throws Exception {
         try (ProxyFixture proxy = new ProxyFixture(new ScriptedHttpServer((request, peer) -> {
--- a/src/test/java/loadbalancer/proxy/lifecycle/FaultMatrixTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/FaultMatrixTest.java
@@ -364,6 +364,7 @@
                                     ProxyConfiguration.parseAddress("discovery", newDiscovery.endpoint()),
                                     7,
                                     fixture.maxDescriptors,
+                                    fixture.maxMemoryBytes,
                                     fixture.upstreamIdleTimeoutUs,
                                     null,
                                     fixture.settings),
--- a/src/test/java/loadbalancer/proxy/lifecycle/ProxyFixture.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/ProxyFixture.java
@@ -48,6 +48,7 @@
     public final ScriptedHttpServer discovery;
     public final EventLoop loop = ProxyNode.newLoop();
     public int maxDescriptors = 256;
+    public long maxMemoryBytes = 192 << 20;
     public long upstreamIdleTimeoutUs = 60_000_000;
     /** Zero, so that connections are reused at once and tests can count them. */
     public long connectionReuseDelayUs = 0;
@@ -127,6 +128,7 @@
                 ProxyConfiguration.parseAddress("discovery", discovery.endpoint()),
                 7,
                 maxDescriptors,
+                maxMemoryBytes,
                 upstreamIdleTimeoutUs,
                 new EndpointListDecoder(settings.zones).decode(new ObjectMapper().readTree(cachedList)),
                 settings);
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
@@ -39,6 +39,7 @@
 import loadbalancer.proxy.lifecycle.ProxyFixture;
 import loadbalancer.proxy.lifecycle.ProxyNode;
 import loadbalancer.proxy.resources.DescriptorBudget;
+import loadbalancer.proxy.resources.MemoryBudget;
 import loadbalancer.proxy.resources.SystemClock;
 import loadbalancer.testsupport.HttpMessages;
 import loadbalancer.testsupport.ScriptedHttpServer;
@@ -196,8 +197,8 @@
         EventLoop loop = ProxyNode.newLoop();
         try {
             DescriptorBudget sockets = new DescriptorBudget(256);
-            UpstreamConnectionPool pool =
-                    new UpstreamConnectionPool(loop, sockets, new SystemClock(), 1_000_000, 1_000_000, 0, () -> {
+            UpstreamConnectionPool pool = new UpstreamConnectionPool(
+                    loop, sockets, new MemoryBudget(1 << 20), new SystemClock(), 1_000_000, 1_000_000, 0, () -> {
                         throw new ChannelException("Too many open files");
                     });
             EndpointList list = new EndpointListDecoder(List.of())
@@ -232,7 +233,14 @@
         EventLoop loop = ProxyNode.newLoop();
         try (ScriptedHttpServer server = ScriptedHttpServer.serving("x")) {
             UpstreamConnectionPool pool = new UpstreamConnectionPool(
-                    loop, new DescriptorBudget(256), new SystemClock(), 1_000_000, 60_000_000, 0, UpstreamChannel::new);
+                    loop,
+                    new DescriptorBudget(256),
+                    new MemoryBudget(1 << 20),
+                    new SystemClock(),
+                    1_000_000,
+                    60_000_000,
+                    0,
+                    UpstreamChannel::new);
             EndpointList list = new EndpointListDecoder(List.of())
                     .decode(new ObjectMapper()
                             .readTree(ProxyFixture.list(1, true, "s0=" + server.endpoint() + "=Ready")));
