Check a retry again when it is sent, not only when it is decided on

What callers saw: a request with an idempotency key ran twice.

Cause: RetryRules compared the window with the time of the decision, with no margin; the pool checked lease, endpoint, deadline and client again before the send, but not the window.

Evidence: the decision follows the reset at 4.6 s of a window of 5 s, the send follows the late connection.

Fix: LoadBalancer.maySend decides at the send, and before each write of a part: window with 150 ms for a suspended process, deduplication scope by where endpoints were when their attempts started, other attempts as they are, same incarnation of the endpoint. What may not be sent ends as not sent. The margin also holds where a retry is decided on or queued.

--- a/src/main/java/loadbalancer/policy/AttemptDispatcher.java
+++ b/src/main/java/loadbalancer/policy/AttemptDispatcher.java
@@ -61,6 +61,13 @@
         return lease.isValid(nowUs) && retryRules.mayRetry(request, nowUs);
     }
 
+    /** Returns whether an attempt that has started may still be sent. */
+    boolean maySend(long requestId, int attemptNumber, long nowUs) {
+        PendingRequest request = pendingRequests.get(requestId);
+        Attempt attempt = request == null ? null : request.attempt(attemptNumber);
+        return attempt != null && retryRules.maySend(request, attempt, nowUs);
+    }
+
     @Override
     public Endpoint selectEndpoint(PendingRequest request, long nowUs) {
         return selector.selectEndpoint(request, nowUs);
--- a/src/main/java/loadbalancer/policy/LoadBalancerSettings.java
+++ b/src/main/java/loadbalancer/policy/LoadBalancerSettings.java
@@ -5,6 +5,9 @@
 
 /** The settings of one load balancer instance. */
 public final class LoadBalancerSettings {
+    /** The longest time for which the process may be suspended between reading its clock and writing to a socket. */
+    public static final long MAX_SUSPENSION_US = 150_000;
+
     /** Number of load balancer instances in the fleet, including this one. */
     public int instances = 1;
     /** Index of this instance in the fleet, from 0; the setting is named {@code me}. */
--- a/src/main/java/loadbalancer/policy/ServiceQLoadBalancer.java
+++ b/src/main/java/loadbalancer/policy/ServiceQLoadBalancer.java
@@ -16,7 +16,6 @@
 import loadbalancer.policy.log.DecisionLog;
 import loadbalancer.policy.model.Attempt;
 import loadbalancer.policy.model.Endpoint;
-import loadbalancer.policy.model.EndpointHealth;
 import loadbalancer.policy.model.EndpointSharing;
 import loadbalancer.policy.model.PendingRequest;
 import loadbalancer.policy.retry.RetryRules;
@@ -190,6 +189,11 @@
         scheduleTimer(nowUs);
     }
 
+    @Override
+    public boolean maySend(long nowUs, long requestId, int attemptNumber) {
+        return dispatcher.maySend(requestId, attemptNumber, nowUs);
+    }
+
     private void recordOutcome(PendingRequest request, Attempt attempt, AttemptOutcome outcome, long nowUs) {
         updateHealth(request, attempt, outcome, nowUs);
         limiter.onOutcome(request, attempt, updateStatistics(request, outcome, nowUs), nowUs);
@@ -212,23 +216,13 @@
             }
             default -> {
                 if (!attempt.isCountedAsFailure()) {
-                    outlierDetector.onFailure(endpoint, classIndex, !isOverload(attempt, classIndex, outcome), nowUs);
+                    outlierDetector.onFailure(
+                            endpoint, classIndex, !attempt.indicatesOverload(classIndex, outcome.result()), nowUs);
                 }
             }
         }
     }
 
-    /**
-     * Returns whether a failure indicates overload of the endpoint rather than a fault: a rejection, or a timeout
-     * although the endpoint has responded to a request of the class since the attempt started.
-     */
-    private static boolean isOverload(Attempt attempt, int classIndex, AttemptOutcome outcome) {
-        EndpointHealth classHealth = attempt.endpoint().healthOf(classIndex);
-        return outcome.result() == AttemptResult.REJECTED
-                || (outcome.result() == AttemptResult.TIMEOUT
-                        && classHealth.lastResponseAtUs() >= attempt.startedAtUs());
-    }
-
     /** Updates the statistics with an outcome, and determines whether the client has abandoned a slow attempt. */
     private ObservedOutcome updateStatistics(PendingRequest request, AttemptOutcome outcome, long nowUs) {
         AttemptResult result = outcome.result();
--- a/src/main/java/loadbalancer/policy/admission/RequestQueue.java
+++ b/src/main/java/loadbalancer/policy/admission/RequestQueue.java
@@ -24,9 +24,6 @@
     /** Upper bound of that time as a share of the objective, so that requests may wait however high the mean is. */
     private static final double MAX_LATE_OBJECTIVE_SHARE = 0.8;
 
-    /** The longest time for which the process may be suspended between reading its clock and writing a response. */
-    private static final long MAX_SUSPENSION_US = 150_000;
-
     /**
      * Maximum share of the time from a request's arrival to its deadline that is reserved for sending the final
      * response in time.
@@ -163,7 +160,7 @@
         long maxMarginUs = (long) (MAX_EXPIRY_MARGIN_SHARE * (request.deadlineAtUs() - request.arrivedAtUs()));
         return Math.max(
                 sweepIntervalUs + settings.eventIntervalUs,
-                Math.min(maxMarginUs, Math.max(MAX_SUSPENSION_US, meanUs / 2)));
+                Math.min(maxMarginUs, Math.max(LoadBalancerSettings.MAX_SUSPENSION_US, meanUs / 2)));
     }
 
     private boolean startIfPossible(PendingRequest request, DispatchPass pass, long nowUs) {
--- a/src/main/java/loadbalancer/policy/model/Attempt.java
+++ b/src/main/java/loadbalancer/policy/model/Attempt.java
@@ -7,6 +7,9 @@
     private final Endpoint endpoint;
     private final int number;
     private final long startedAtUs;
+    private final int zone;
+    private final int cell;
+    private final long incarnationStartedAtUs;
     private AttemptResult result;
     private boolean countedAsFailure;
     private boolean released;
@@ -15,6 +18,9 @@
         this.endpoint = endpoint;
         this.number = number;
         this.startedAtUs = startedAtUs;
+        zone = endpoint.zone();
+        cell = endpoint.cell();
+        incarnationStartedAtUs = endpoint.incarnationStartedAtUs();
     }
 
     public Endpoint endpoint() {
@@ -30,6 +36,23 @@
         return startedAtUs;
     }
 
+    /** Returns the zone that the endpoint had when the attempt started. */
+    public int zone() {
+        return zone;
+    }
+
+    /** Returns the cell that the endpoint had when the attempt started. */
+    public int cell() {
+        return cell;
+    }
+
+    /** Returns whether the endpoint still is in the same place and has the same incarnation as at the start. */
+    public boolean isEndpointUnchanged() {
+        return endpoint.zone() == zone
+                && endpoint.cell() == cell
+                && endpoint.incarnationStartedAtUs() == incarnationStartedAtUs;
+    }
+
     /** Returns how the attempt ended, or null while it is in flight. */
     public AttemptResult result() {
         return result;
@@ -59,6 +82,16 @@
         countedAsFailure = true;
     }
 
+    /**
+     * Returns whether a failure of the attempt indicates overload of the endpoint rather than a fault: a rejection, or a
+     * timeout although the endpoint has responded to a request of the class since the attempt started.
+     */
+    public boolean indicatesOverload(int classIndex, AttemptResult failure) {
+        return failure == AttemptResult.REJECTED
+                || (failure == AttemptResult.TIMEOUT
+                        && endpoint.healthOf(classIndex).lastResponseAtUs() >= startedAtUs);
+    }
+
     /** Returns whether the endpoint no longer counts the attempt as in flight: it has ended or is considered lost. */
     public boolean isReleased() {
         return released;
--- a/src/main/java/loadbalancer/policy/model/PendingRequest.java
+++ b/src/main/java/loadbalancer/policy/model/PendingRequest.java
@@ -237,8 +237,13 @@
 
     /** Returns the first attempt that may have been executed, or null; it restricts retries and rejection. */
     public Attempt firstPossiblyExecutedAttempt() {
+        return firstPossiblyExecutedAttemptExcept(null);
+    }
+
+    /** Returns the first attempt other than this one that may have been executed, or null; it restricts this one. */
+    public Attempt firstPossiblyExecutedAttemptExcept(Attempt excluded) {
         for (int i = 0; i < attemptCount; i++) {
-            if (attempts[i].mayHaveBeenExecuted()) {
+            if (attempts[i] != excluded && attempts[i].mayHaveBeenExecuted()) {
                 return attempts[i];
             }
         }
--- a/src/main/java/loadbalancer/policy/retry/RetryRules.java
+++ b/src/main/java/loadbalancer/policy/retry/RetryRules.java
@@ -24,13 +24,38 @@
                 || request.isStreaming()) {
             return false;
         }
-        Attempt possiblyExecuted = request.firstPossiblyExecutedAttempt();
-        RequestClass requestClass = request.requestClass();
+        return mayRepeat(request.requestClass(), request.firstPossiblyExecutedAttempt(), nowUs);
+    }
+
+    /**
+     * Returns whether an attempt that has started may be sent now. Between its start and its send, for example while a
+     * connection is opened, the deduplication window may have ended, other attempts may have started, or the endpoint may
+     * have been replaced.
+     */
+    public boolean maySend(PendingRequest request, Attempt attempt, long nowUs) {
+        Attempt possiblyExecuted = request.firstPossiblyExecutedAttemptExcept(attempt);
+        return !request.isFinished()
+                && attempt.isInFlight()
+                && nowUs < request.deadlineAtUs()
+                && attempt.isEndpointUnchanged()
+                && mayRepeat(request.requestClass(), possiblyExecuted, nowUs)
+                && isInDeduplicationScope(request.requestClass(), possiblyExecuted, attempt.endpoint());
+    }
+
+    /**
+     * Returns whether a request may be sent again after an attempt that may have been executed.
+     *
+     * @param possiblyExecuted that attempt, or null if the request has certainly not been executed
+     */
+    private static boolean mayRepeat(RequestClass requestClass, Attempt possiblyExecuted, long nowUs) {
         return possiblyExecuted == null
                 || switch (requestClass.idempotency()) {
                     case IDEMPOTENT -> true;
                     case IDEMPOTENCY_KEY ->
-                        nowUs <= possiblyExecuted.startedAtUs() + requestClass.deduplicationWindowUs();
+                        nowUs
+                                < possiblyExecuted.startedAtUs()
+                                        + requestClass.deduplicationWindowUs()
+                                        - LoadBalancerSettings.MAX_SUSPENSION_US;
                     case NON_IDEMPOTENT -> false;
                 };
     }
@@ -41,15 +66,17 @@
      * are permitted.
      */
     public boolean permitsAttemptAt(PendingRequest request, Endpoint endpoint) {
-        if (request.requestClass().idempotency() != Idempotency.IDEMPOTENCY_KEY) {
-            return true;
-        }
-        Attempt possiblyExecuted = request.firstPossiblyExecutedAttempt();
-        return possiblyExecuted == null
-                || switch (request.requestClass().deduplicationScope()) {
+        return isInDeduplicationScope(request.requestClass(), request.firstPossiblyExecutedAttempt(), endpoint);
+    }
+
+    private static boolean isInDeduplicationScope(
+            RequestClass requestClass, Attempt possiblyExecuted, Endpoint endpoint) {
+        return requestClass.idempotency() != Idempotency.IDEMPOTENCY_KEY
+                || possiblyExecuted == null
+                || switch (requestClass.deduplicationScope()) {
                     case ALL -> true;
-                    case ZONE -> endpoint.zone() == possiblyExecuted.endpoint().zone();
-                    case CELL -> endpoint.cell() == possiblyExecuted.endpoint().cell();
+                    case ZONE -> endpoint.zone() == possiblyExecuted.zone();
+                    case CELL -> endpoint.cell() == possiblyExecuted.cell();
                 };
     }
 
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -80,6 +80,7 @@
      */
     private final Map<String, InFlightRequest> openRequests = new HashMap<>();
 
+    private final Attempt.Listener attemptListener = new AttemptListener();
     private long lastRequestId;
     private final PolicyEventQueue events;
     /**
@@ -424,6 +425,18 @@
 
     // ---------------------------------------------------------------- attempts
 
+    private final class AttemptListener implements Attempt.Listener {
+        @Override
+        public boolean isSendPermitted(Attempt attempt) {
+            return loadBalancer.maySend(clock.nowUs(), attempt.request().id, attempt.number());
+        }
+
+        @Override
+        public void onAttemptEnded(Attempt attempt, AttemptResult result, byte[] body) {
+            ProxyNode.this.onAttemptEnded(attempt, result, body);
+        }
+    }
+
     private void onAttemptEnded(Attempt attempt, AttemptResult result, byte[] body) {
         InFlightRequest request = attempt.request();
         EventLog.requestEvent(() -> LogEvent.named("attempt_ended")
@@ -485,8 +498,8 @@
         InFlightRequest request = inFlight.get(requestId);
         // The deadline of the request applies if the module sets none.
         long attemptDeadlineUs = deadlineUs == 0 ? request.deadlineUs : Math.min(deadlineUs, request.deadlineUs);
-        Attempt attempt = new Attempt(
-                request, endpointId, attemptDeadlineUs, config.settings(), pool, clock, this::onAttemptEnded);
+        Attempt attempt =
+                new Attempt(request, endpointId, attemptDeadlineUs, config.settings(), pool, clock, attemptListener);
         request.attempts.add(attempt);
         attempt.start(loop);
     }
--- a/src/main/java/loadbalancer/proxy/routing/Attempt.java
+++ b/src/main/java/loadbalancer/proxy/routing/Attempt.java
@@ -22,8 +22,11 @@
 public final class Attempt implements UpstreamExchange {
     private static final byte[] NO_BODY = {};
 
-    /** Receives the result of an attempt. */
+    /** Receives the result of an attempt, and decides whether it may be sent. */
     public interface Listener {
+        /** Returns whether the attempt may be sent now, although it may have waited since its start. */
+        boolean isSendPermitted(Attempt attempt);
+
         /**
          * Handles the end of an attempt. Called once for each attempt.
          *
@@ -116,6 +119,11 @@
         return !request.isEnded && clock.nowUs() < deadlineUs && request.client.isConnected();
     }
 
+    @Override
+    public boolean isSendPermitted() {
+        return listener.isSendPermitted(this);
+    }
+
     /** Sends the attempt, unless its deadline has passed or the request has reached its maximum number of attempts. */
     public void start(EventLoop loop) {
         request.outstandingAttempts++;
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamChannel.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamChannel.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -14,12 +15,17 @@
     private final ByteBuffer oneByte = ByteBuffer.allocate(1);
     private boolean fullyWritten;
     private boolean partlyWritten;
+    private BooleanSupplier writePermission = () -> true;
 
     /**
      * Resets {@link #isFullyWritten} and {@link #isPartlyWritten} for the next message. The caller calls this before it
      * writes the message.
+     *
+     * @param permission asked before each write of a part of the message; if it is not given, the write fails with a
+     *     {@link WriteNotPermittedException}
      */
-    final void startMessage() {
+    final void startMessage(BooleanSupplier permission) {
+        writePermission = permission;
         fullyWritten = false;
         partlyWritten = false;
     }
@@ -40,6 +46,9 @@
     @Override
     protected final void doWrite(ChannelOutboundBuffer pending) throws Exception {
         int buffers = pending.size();
+        if (buffers > 0 && !writePermission.getAsBoolean()) {
+            throw new WriteNotPermittedException();
+        }
         try {
             writeToSocket(pending);
         } finally {
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -133,14 +133,24 @@
         exchange = next;
         informationalResponses = 0;
         pool.onExchangeStarted(this, next);
-        channel.startMessage();
+        channel.startMessage(next::isSendPermitted);
         channel.writeAndFlush(message).addListener(done -> {
             if (!done.isSuccess() && exchange == next) {
-                fail("write of the request failed");
+                onWriteFailed(done.cause());
             }
         });
     }
 
+    private void onWriteFailed(Throwable cause) {
+        if (cause instanceof WriteNotPermittedException) {
+            // The endpoint does not execute a request whose last byte it has not received.
+            close();
+            completeExchange(AttemptResult.NOT_SENT, NO_BODY);
+        } else {
+            fail("write of the request failed");
+        }
+    }
+
     /** Returns whether the whole request is written, so that the endpoint may be executing it. */
     boolean isRequestFullyWritten() {
         return channel.isFullyWritten();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -129,7 +129,7 @@
 
     /** Returns whether an exchange may be sent to an endpoint that is ready. */
     boolean isSendAllowed(UpstreamExchange exchange) {
-        return isLeaseHeld() && exchange.isActive();
+        return isLeaseHeld() && exchange.isActive() && exchange.isSendPermitted();
     }
 
     // ---------------------------------------------------------------- exchanges
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamExchange.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamExchange.java
@@ -9,6 +9,12 @@
     /** Returns whether the request may still be sent: the client waits for it and its time is not over. */
     boolean isActive();
 
+    /**
+     * Returns whether the decision module permits to send the request now. The pool asks before each write, because the
+     * request may have waited for a connection, or for the endpoint to read its first part.
+     */
+    boolean isSendPermitted();
+
     /** Creates the request message. The pool calls this at most once, when a connection is available. */
     FullHttpRequest createRequest();
 
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
@@ -268,6 +268,11 @@
 
     /** An exchange that only records its result. */
     private record RecordingExchange(BlockingQueue<AttemptResult> results, String txn) implements UpstreamExchange {
+        @Override
+        public boolean isSendPermitted() {
+            return true;
+        }
+
         @Override
         public boolean isActive() {
             return true;
