Name the check before a send isSendPermitted in all layers

The decision module and the proxy had two names for it, one of them of the withdrawn house style. Renamed, comments reworded; no change of behaviour.

--- a/src/main/java/loadbalancer/policy/AttemptDispatcher.java
+++ b/src/main/java/loadbalancer/policy/AttemptDispatcher.java
@@ -62,10 +62,10 @@
     }
 
     /** Returns whether an attempt that has started may still be sent. */
-    boolean maySend(long requestId, int attemptNumber, long nowUs) {
+    boolean isSendPermitted(long requestId, int attemptNumber, long nowUs) {
         PendingRequest request = pendingRequests.get(requestId);
         Attempt attempt = request == null ? null : request.attempt(attemptNumber);
-        return attempt != null && retryRules.maySend(request, attempt, nowUs);
+        return attempt != null && retryRules.isSendPermitted(request, attempt, nowUs);
     }
 
     @Override
--- a/src/main/java/loadbalancer/policy/LoadBalancer.java
+++ b/src/main/java/loadbalancer/policy/LoadBalancer.java
@@ -34,11 +34,11 @@
     void onRequest(long nowUs, Request request);
 
     /**
-     * Returns whether an attempt may be sent now. The caller asks directly before each write of an attempt, because the
+     * Returns whether an attempt may be sent now. The caller checks this before each write of an attempt, because the
      * attempt may have waited since it started, for example for a connection. An attempt that may not be sent ends as not
      * sent.
      */
-    boolean maySend(long nowUs, long requestId, int attemptNumber);
+    boolean isSendPermitted(long nowUs, long requestId, int attemptNumber);
 
     /** Reports how one attempt ended. Outcomes of unknown attempts are ignored. */
     void onAttemptOutcome(long nowUs, AttemptOutcome outcome);
--- a/src/main/java/loadbalancer/policy/ServiceQLoadBalancer.java
+++ b/src/main/java/loadbalancer/policy/ServiceQLoadBalancer.java
@@ -190,8 +190,8 @@
     }
 
     @Override
-    public boolean maySend(long nowUs, long requestId, int attemptNumber) {
-        return dispatcher.maySend(requestId, attemptNumber, nowUs);
+    public boolean isSendPermitted(long nowUs, long requestId, int attemptNumber) {
+        return dispatcher.isSendPermitted(requestId, attemptNumber, nowUs);
     }
 
     private void recordOutcome(PendingRequest request, Attempt attempt, AttemptOutcome outcome, long nowUs) {
--- a/src/main/java/loadbalancer/policy/retry/RetryRules.java
+++ b/src/main/java/loadbalancer/policy/retry/RetryRules.java
@@ -32,7 +32,7 @@
      * connection is opened, the deduplication window may have ended, other attempts may have started, or the endpoint may
      * have been replaced.
      */
-    public boolean maySend(PendingRequest request, Attempt attempt, long nowUs) {
+    public boolean isSendPermitted(PendingRequest request, Attempt attempt, long nowUs) {
         Attempt possiblyExecuted = request.firstPossiblyExecutedAttemptExcept(attempt);
         return !request.isFinished()
                 && attempt.isInFlight()
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -428,7 +428,7 @@
     private final class AttemptListener implements Attempt.Listener {
         @Override
         public boolean isSendPermitted(Attempt attempt) {
-            return loadBalancer.maySend(clock.nowUs(), attempt.request().id, attempt.number());
+            return loadBalancer.isSendPermitted(clock.nowUs(), attempt.request().id, attempt.number());
         }
 
         @Override
--- a/src/main/java/loadbalancer/proxy/resources/MemoryBudget.java
+++ b/src/main/java/loadbalancer/proxy/resources/MemoryBudget.java
@@ -4,7 +4,7 @@
 
 /**
  * Limits how many bytes all connections together hold in memory. The budget never refuses a reservation; when it is
- * exceeded, it asks its reclaimer to release reservations until it is met again. Used on one thread only.
+ * exceeded, its reclaimer releases reservations until it is met again. Used on one thread only.
  */
 public final class MemoryBudget {
     private final long maxBytes;
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamChannel.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamChannel.java
@@ -21,7 +21,7 @@
      * Resets {@link #isFullyWritten} and {@link #isPartlyWritten} for the next message. The caller calls this before it
      * writes the message.
      *
-     * @param permission asked before each write of a part of the message; if it is not given, the write fails with a
+     * @param permission checked before each write of a part of the message; if it is not given, the write fails with a
      *     {@link WriteNotPermittedException}
      */
     final void startMessage(BooleanSupplier permission) {
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamExchange.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamExchange.java
@@ -10,7 +10,7 @@
     boolean isActive();
 
     /**
-     * Returns whether the decision module permits to send the request now. The pool asks before each write, because the
+     * Returns whether the decision module permits to send the request now. The pool checks this before each write, because the
      * request may have waited for a connection, or for the endpoint to read its first part.
      */
     boolean isSendPermitted();
--- a/src/test/java/loadbalancer/policy/retry/RetryRulesTest.java
+++ b/src/test/java/loadbalancer/policy/retry/RetryRulesTest.java
@@ -62,8 +62,8 @@
     void anAttemptMayBeSentOnlyWithinTheDeduplicationWindowOfAnEarlierOne() {
         PendingRequest request = requestAfterAttempt(CELL_CLASS, AttemptResult.RESET);
         Attempt retry = request.startAttempt(PolicyTestObjects.endpoint(settings, "b", 0, 1), NOW_US + 1);
-        assertTrue(rules.maySend(request, retry, NOW_US + 249_999));
-        assertFalse(rules.maySend(request, retry, NOW_US + 250_000));
+        assertTrue(rules.isSendPermitted(request, retry, NOW_US + 249_999));
+        assertFalse(rules.isSendPermitted(request, retry, NOW_US + 250_000));
     }
 
     /** Guards against a first attempt that waits while a hedged request beside it is sent and executed. */
@@ -71,12 +71,12 @@
     void aFirstAttemptMayBeSentOnlyWithinTheDeduplicationWindowOfAHedgedRequest() {
         PendingRequest request = PolicyTestObjects.request(settings, CELL_CLASS, NOW_US);
         Attempt first = request.startAttempt(endpoint, NOW_US);
-        assertTrue(rules.maySend(request, first, NOW_US + 600_000));
+        assertTrue(rules.isSendPermitted(request, first, NOW_US + 600_000));
         Attempt hedged = request.startAttempt(PolicyTestObjects.endpoint(settings, "b", 0, 1), NOW_US + 100_000);
-        assertTrue(rules.maySend(request, first, NOW_US + 349_999));
-        assertFalse(rules.maySend(request, first, NOW_US + 350_000));
+        assertTrue(rules.isSendPermitted(request, first, NOW_US + 349_999));
+        assertFalse(rules.isSendPermitted(request, first, NOW_US + 350_000));
         request.endAttempt(hedged, AttemptResult.CONNECT_FAILED);
-        assertTrue(rules.maySend(request, first, NOW_US + 350_000), "the hedged request was not sent");
+        assertTrue(rules.isSendPermitted(request, first, NOW_US + 350_000), "the hedged request was not sent");
     }
 
     @Test
@@ -85,13 +85,13 @@
             Endpoint changing = PolicyTestObjects.endpoint(settings, "b", 0, 1);
             PendingRequest request = PolicyTestObjects.request(settings, classIndex, NOW_US);
             Attempt attempt = request.startAttempt(changing, NOW_US);
-            assertTrue(rules.maySend(request, attempt, NOW_US));
+            assertTrue(rules.isSendPermitted(request, attempt, NOW_US));
             changing.update(new EndpointListEntry("b", 0, 2, EndpointState.READY, 1, 0));
-            assertFalse(rules.maySend(request, attempt, NOW_US));
+            assertFalse(rules.isSendPermitted(request, attempt, NOW_US));
             changing.update(new EndpointListEntry("b", 0, 1, EndpointState.READY, 1, 0));
-            assertTrue(rules.maySend(request, attempt, NOW_US));
+            assertTrue(rules.isSendPermitted(request, attempt, NOW_US));
             changing.startIncarnation(NOW_US, NOW_US);
-            assertFalse(rules.maySend(request, attempt, NOW_US));
+            assertFalse(rules.isSendPermitted(request, attempt, NOW_US));
         }
     }
 
@@ -99,10 +99,10 @@
     void anAttemptMayNotBeSentOnceItOrItsRequestHasEnded() {
         PendingRequest request = PolicyTestObjects.request(settings, PolicyTestObjects.IDEMPOTENT, NOW_US);
         Attempt attempt = request.startAttempt(endpoint, NOW_US);
-        assertTrue(rules.maySend(request, attempt, request.deadlineAtUs() - 1));
-        assertFalse(rules.maySend(request, attempt, request.deadlineAtUs()));
+        assertTrue(rules.isSendPermitted(request, attempt, request.deadlineAtUs() - 1));
+        assertFalse(rules.isSendPermitted(request, attempt, request.deadlineAtUs()));
         request.finish();
-        assertFalse(rules.maySend(request, attempt, NOW_US));
+        assertFalse(rules.isSendPermitted(request, attempt, NOW_US));
     }
 
     /** The scope is that of the endpoint's place when it may have executed the request, not of its place now. */
