Read on behind waiting requests, so that a client that has left is noticed

What callers saw: requests of clients that had closed their connections were forwarded up to 1.5 s later, and an id that came again after that ran twice.

Cause: while more than 16 requests (or 80 KiB) waited on a connection, the node did not read it, and ClientChannel.readNow skipped connections that are not read. The end of the stream stands behind all unread bytes, and a selector without interest in reading reports no reset either, so isConnected() answered from the last thing that was read. A check before each write of a request did not ask for the client at all.

Change: only decoding pauses. Bytes are read on to 256 KiB a connection, and count for the memory budget over all connections; when that is exceeded they are decoded and each complete request gets its 503 in order (a run of them takes up the memory of one). Before each send and each write of a part the socket is drained without decoding. If there is more to read, the client is not known to be connected: nothing is sent, and requests that wait get 503. The size of a request is counted where it is decoded.

MemoryPressureTest has requests that are read ahead and shed.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
@@ -10,6 +10,10 @@
 /** The socket channel of a client connection, with control over when and what the proxy reads. */
 final class ClientChannel extends NioSocketChannel {
     private boolean detectsCloseOnly;
+    /** Whether the last read found nothing to read, so that the client had not closed the connection by then. */
+    private boolean isDrained;
+
+    private int bytesLeftToDrain;
 
     ClientChannel(Channel listener, SocketChannel socket) {
         super(listener, socket);
@@ -25,6 +29,24 @@
         }
     }
 
+    /**
+     * Reads received bytes until nothing is left, the connection ends, or about this many bytes have been read. Must not
+     * be called while the channel is being read.
+     *
+     * @return whether nothing is left to read and the client has not closed the connection
+     */
+    boolean drain(int maxBytes) {
+        if (detectsCloseOnly) {
+            return isActive();
+        }
+        isDrained = false;
+        bytesLeftToDrain = maxBytes;
+        while (isActive() && !isDrained && bytesLeftToDrain > 0) {
+            unsafe().read();
+        }
+        return isActive() && isDrained;
+    }
+
     /**
      * Leaves all further bytes in the socket's receive buffer. The channel still detects that the client closes the
      * connection, unless unread bytes precede the end of the stream.
@@ -50,7 +72,10 @@
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
         if (!detectsCloseOnly) {
-            return super.doReadBytes(buffer);
+            int bytes = super.doReadBytes(buffer);
+            isDrained = bytes == 0;
+            bytesLeftToDrain -= Math.max(0, bytes);
+            return bytes;
         }
         int read = unreadBytes() > 0 ? 1 : buffer.writeBytes(javaChannel(), 1);
         if (read <= 0) {
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -79,10 +79,11 @@
         }
     }
 
-    /** Queues a request to be served, and pauses reading while too many are queued. */
+    /** Queues a request to be served, and pauses decoding while too many are queued. */
     void onRequestReceived(ReceivedRequest request) {
+        boolean isFirst = pipeline.isEmpty();
         pipeline.add(request);
-        if (!phase.isServing() && pipeline.size() == 1) {
+        if (!phase.isServing() && isFirst) {
             server.onRequest(this);
             // Requests are served only after the event loop has read all connections. Otherwise, the proxy would
             // serve clients that have already disconnected. Each of these requests would take upstream capacity,
@@ -90,7 +91,6 @@
             channel.eventLoop().execute(this::serveNext);
             return;
         }
-        // Reading continues up to the limit, because the proxy only detects by reading that a client disconnects.
         if (pipeline.isOverLimit()) {
             reader.pause();
         }
@@ -111,7 +111,10 @@
         if (!next.isKeepAlive()) {
             phase = phase.withoutFurtherRequests();
         }
-        if (next.rejection() == null) {
+        if (next.rejection() == null && reader.isReadAheadFull()) {
+            // The request would not be forwarded, because the client may have disconnected behind what is not read yet.
+            respond(HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
+        } else if (next.rejection() == null) {
             serve(next);
         } else if (next.rejection().closesConnection()) {
             reject(next.rejection().status(), next.rejection().reason());
@@ -236,10 +239,12 @@
         return clock.nowUs() - waitingForClientSinceUs;
     }
 
-    /** Returns whether the client is still connected, after reading received bytes to detect a disconnect. */
-    public boolean isConnected() {
-        channel.readNow();
-        return channel.isActive();
+    /**
+     * Returns whether the client is certainly connected. To detect a disconnect, the proxy reads what the client has sent;
+     * it returns false if that exceeds the limit, because the end of the stream may be behind it.
+     */
+    public boolean isConfirmedConnected() {
+        return channel.isActive() && reader.readAhead();
     }
 
     /** Returns whether no bytes of a further request have arrived since the last complete request. */
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
@@ -38,6 +38,8 @@
     private boolean isPaused;
     private boolean isDiscarding;
     private boolean isDecoding;
+    /** The bytes that have been decoded since the end of the last request. */
+    private int requestBytes;
 
     ClientRequestDecoder() {
         super(new HttpDecoderConfig()
@@ -69,7 +71,7 @@
     }
 
     /** Decodes the bytes that are buffered, although no bytes have been read. */
-    private void decodeBuffered() {
+    void decodeBuffered() {
         try {
             channelRead(context, Unpooled.EMPTY_BUFFER);
         } catch (Exception e) {
@@ -77,6 +79,16 @@
         }
     }
 
+    /** Returns the number of bytes that have been decoded since the end of the last request. */
+    int requestBytes() {
+        return requestBytes;
+    }
+
+    /** Returns the number of bytes that have been read and not decoded yet. */
+    int bufferedBytes() {
+        return actualReadableBytes();
+    }
+
     /** Returns the memory that bytes which are not decoded yet take up. */
     int bufferCapacity() {
         return internalBuffer().capacity();
@@ -110,8 +122,10 @@
             throws Exception {
         int start = bytes.readerIndex();
         super.decode(decodeContext, bytes, messages);
+        requestBytes += bytes.readerIndex() - start;
         if (!messages.isEmpty() && messages.get(messages.size() - 1) instanceof LastHttpContent) {
             isRequestIncomplete = false;
+            requestBytes = 0;
         } else if (!isRequestIncomplete) {
             isRequestIncomplete = hasVisibleCharacter(bytes, start, bytes.readerIndex());
         }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
@@ -40,8 +40,8 @@
     private boolean hasReceivedRequest;
     /** When the read timeout of the request that has arrived in part began. */
     private long requestStartedAtUs;
-    /** The bytes that have been read since the end of the last request. */
-    private int wireBytes;
+    /** Whether complete requests are rejected, to release their memory. */
+    private boolean isShedding;
 
     private RequestHead head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -84,12 +84,12 @@
             // The read timeout of the first request begins when the client connects.
             requestStartedAtUs = hasReceivedRequest ? clock.nowUs() : connectedAtUs;
         }
-        wireBytes += bytes.readableBytes();
         context.fireChannelRead(bytes);
-        if (wireBytes > ConnectionLimits.MAX_REQUEST_WIRE_BYTES && !phase.isClosed()) {
+        if (decoder.requestBytes() > ConnectionLimits.MAX_REQUEST_WIRE_BYTES && !phase.isClosed()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
         phase = phase.onBytesDecoded(head != null || decoder.hasPartialRequest());
+        updateReading();
     }
 
     /** Processes the next decoded part of a request. */
@@ -147,7 +147,9 @@
     }
 
     private void completeRequest() {
-        ReceivedRequest request = ReceivedRequest.complete(head, ByteBufUtil.getBytes(body), clock.nowUs());
+        ReceivedRequest request = isShedding
+                ? ReceivedRequest.rejectedForLackOfMemory(head.isKeepAlive(), clock.nowUs())
+                : ReceivedRequest.complete(head, ByteBufUtil.getBytes(body), clock.nowUs());
         resetRequest();
         deliver(request);
     }
@@ -167,7 +169,6 @@
         head = null;
         body.release();
         body = Unpooled.EMPTY_BUFFER;
-        wireBytes = 0;
         // If bytes of the next request have already arrived, its read timeout begins now.
         requestStartedAtUs = clock.nowUs();
     }
@@ -187,17 +188,24 @@
         }
     }
 
-    /**
-     * Returns whether a request that has arrived in part takes up memory. While decoding is paused, the buffered bytes may
-     * be complete requests, which must not be discarded.
-     */
+    /** Returns whether bytes that have been read and are not part of a complete request yet take up memory. */
     boolean hasRejectableInput() {
-        return phase == InputPhase.IN_REQUEST && !decoder.isPaused() && heldBytes() > 0;
+        return phase == InputPhase.IN_REQUEST && heldBytes() > 0;
     }
 
-    /** Rejects the request that has arrived in part, to release its memory. The client may safely retry it. */
+    /**
+     * Rejects the requests among the bytes that are not decoded yet, and the request that has arrived in part, to release
+     * their memory. Clients may safely retry them.
+     */
     void rejectForLackOfMemory() {
-        if (hasRejectableInput()) {
+        if (!hasRejectableInput()) {
+            return;
+        }
+        isShedding = true;
+        decoder.setPaused(false);
+        decodeBuffered();
+        isShedding = false;
+        if (phase == InputPhase.IN_REQUEST) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
@@ -212,22 +220,54 @@
         return clock.nowUs() - requestStartedAtUs;
     }
 
-    /** Stops reading and decoding until {@link #resume} is called. Has no effect once the input is closed. */
+    /** Stops decoding until {@link #resume} is called. Has no effect once the input is closed. */
     void pause() {
-        if (!phase.isClosed()) {
+        if (!phase.isClosed() && !isShedding) {
             decoder.setPaused(true);
-            channel.config().setAutoRead(false);
         }
     }
 
-    /** Resumes reading and decoding if they are paused, and restarts the read timeout. */
+    /** Resumes decoding if it is paused, and restarts the read timeout. */
     void resume() {
         if (decoder.isPaused()) {
             decoder.setPaused(false);
             requestStartedAtUs = clock.nowUs();
-            channel.config().setAutoRead(true);
-            // Decodes the bytes that were read before the pause.
-            channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            decodeBuffered();
+        }
+    }
+
+    /** Decodes the bytes that have been read while decoding was paused. */
+    private void decodeBuffered() {
+        channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+    }
+
+    /**
+     * Reads the bytes that the client has sent, up to a limit and without decoding them, because the end of the stream is
+     * behind them.
+     *
+     * @return whether the client is connected; false if it is not, or if there is more to read
+     */
+    boolean readAhead() {
+        boolean isPaused = decoder.isPaused();
+        int bufferedBefore = decoder.bufferedBytes();
+        decoder.setPaused(true);
+        boolean isConnected = channel.drain(ConnectionLimits.MAX_READ_AHEAD_BYTES - bufferedBefore);
+        decoder.setPaused(isPaused);
+        if (!isPaused && decoder.bufferedBytes() > bufferedBefore) {
+            channel.eventLoop().execute(this::decodeBuffered);
+        }
+        return isConnected;
+    }
+
+    /** Returns whether so much is waiting to be decoded that the proxy has stopped reading. */
+    boolean isReadAheadFull() {
+        return decoder.bufferedBytes() >= ConnectionLimits.MAX_READ_AHEAD_BYTES;
+    }
+
+    private void updateReading() {
+        boolean isWanted = !isReadAheadFull();
+        if (channel.config().isAutoRead() != isWanted) {
+            channel.config().setAutoRead(isWanted);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/downstream/ReceivedRequest.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ReceivedRequest.java
@@ -21,12 +21,18 @@
         return new ReceivedRequest(null, !rejection.closesConnection(), arrivedAtUs, rejection);
     }
 
-    /** Returns the rejection of this request for lack of memory, or this request if it holds hardly any. */
+    static ReceivedRequest rejectedForLackOfMemory(boolean isKeepAlive, long arrivedAtUs) {
+        return new ReceivedRequest(null, isKeepAlive, arrivedAtUs, RequestRejection.FOR_LACK_OF_MEMORY);
+    }
+
+    /** Returns the rejection of this request for lack of memory, or this request if it is rejected already. */
     ReceivedRequest rejectedForLackOfMemory() {
-        if (request == null) {
-            return this;
-        }
-        return new ReceivedRequest(null, isKeepAlive, arrivedAtUs, RequestRejection.forLackOfMemory());
+        return rejection == null ? rejectedForLackOfMemory(isKeepAlive, arrivedAtUs) : this;
+    }
+
+    /** Returns whether the response is the same as to the other request, and the connection stays open after both. */
+    boolean isRejectedLike(ReceivedRequest other) {
+        return rejection != null && rejection.equals(other.rejection) && isKeepAlive && other.isKeepAlive;
     }
 
     /** Returns an estimate of the memory that the request takes up. */
--- a/src/main/java/loadbalancer/proxy/downstream/RequestRejection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/RequestRejection.java
@@ -12,13 +12,12 @@
 record RequestRejection(HttpResponseStatus status, byte[] reason, boolean closesConnection) {
     private static final byte[] NO_REASON = {};
 
+    /** The rejection of a complete request for lack of memory, which the client may safely retry. */
+    static final RequestRejection FOR_LACK_OF_MEMORY =
+            new RequestRejection(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_REASON, false);
+
     /** Returns a rejection that closes the connection. */
     static RequestRejection closing(HttpResponseStatus status) {
         return new RequestRejection(status, NO_REASON, true);
     }
-
-    /** Returns the rejection of a complete request for lack of memory, which the client may safely retry. */
-    static RequestRejection forLackOfMemory() {
-        return new RequestRejection(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_REASON, false);
-    }
 }
--- a/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
@@ -26,12 +26,18 @@
     /** The maximum size of a read. What is left of it after complete messages stays in memory. */
     public static final int MAX_READ_BYTES = 16 << 10;
 
-    /** The memory for requests that may wait on one connection before the proxy pauses reading from it. */
+    /** The memory for requests that may wait on one connection before the proxy pauses decoding its input. */
     public static final int MAX_PIPELINED_BYTES = MAX_REQUEST_BODY_BYTES + (16 << 10);
 
-    /** The number of received requests that may wait on one connection before the proxy pauses reading from it. */
+    /** The number of received requests that may wait on one connection before the proxy pauses decoding its input. */
     public static final int MAX_PIPELINED_REQUESTS = 16;
 
+    /**
+     * The number of bytes of one connection that are read while decoding is paused, to detect that the client
+     * disconnects.
+     */
+    public static final int MAX_READ_AHEAD_BYTES = 256 << 10;
+
     /** The maximum number of connections that are accepted in one iteration of the event loop. */
     public static final int MAX_ACCEPTS_PER_ITERATION = 64;
 
--- a/src/main/java/loadbalancer/proxy/routing/Attempt.java
+++ b/src/main/java/loadbalancer/proxy/routing/Attempt.java
@@ -111,12 +111,12 @@
     }
 
     /**
-     * {@inheritDoc} Returns false once the request has its response or its client has disconnected, even if the
-     * decision module has not been notified of that yet.
+     * {@inheritDoc} Returns false once the request has its response, or unless its client is certainly connected, even
+     * if the decision module has not been notified of that yet.
      */
     @Override
     public boolean isActive() {
-        return !request.isEnded && clock.nowUs() < deadlineUs && request.client.isConnected();
+        return !request.isEnded && clock.nowUs() < deadlineUs && request.client.isConfirmedConnected();
     }
 
     @Override
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -133,7 +133,7 @@
         exchange = next;
         informationalResponses = 0;
         pool.onExchangeStarted(this, next);
-        channel.startMessage(next::isSendPermitted);
+        channel.startMessage(() -> next.isActive() && next.isSendPermitted());
         channel.writeAndFlush(message).addListener(done -> {
             if (!done.isSuccess() && exchange == next) {
                 onWriteFailed(done.cause());
--- a/src/test/java/loadbalancer/proxy/downstream/MemoryPressureTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/MemoryPressureTest.java
@@ -85,6 +85,36 @@
         }
     }
 
+    /** The bytes that are read behind the limit of waiting requests, to detect a disconnect, hold complete requests too. */
+    @Test
+    void requestsThatAreReadAheadAndRejectedGetTheirResponses() throws Exception {
+        CountDownLatch respond = new CountDownLatch(1);
+        int requests = 400;
+        try (ScriptedHttpServer upstream = ScriptedHttpServer.servingFrom(respond, "x");
+                ProxyFixture proxy = newFixture().start(upstream)) {
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 16; i++) {
+                StringBuilder pipelined = new StringBuilder();
+                for (int j = 0; j < requests; j++) {
+                    pipelined.append(HttpMessages.page("/api/page", i + "-" + j, "20000m"));
+                }
+                clients.add(proxy.connect());
+                ProxyFixture.write(clients.get(i), pipelined.toString());
+                proxy.awaitPriorInputRead();
+            }
+            respond.countDown();
+            int rejected = 0;
+            for (Socket client : clients) {
+                for (int j = 0; j < requests; j++) {
+                    int status = HttpMessages.read(client.getInputStream()).status();
+                    assertTrue(status == 200 || status == 503, "status " + status);
+                    rejected += status == 503 ? 1 : 0;
+                }
+            }
+            assertTrue(rejected > 0 && rejected < clients.size() * requests, rejected + " rejected");
+        }
+    }
+
     /** A client that does not read its response must not keep others from getting theirs. */
     @Test
     void connectionOfAClientThatDoesNotReadIsClosedSoThatOthersAreServed() throws Exception {
