Refuse the returning id of a request that may have been executed

What callers saw: the id of a non-idempotent request ran twice when it came again after its client had left.

Cause: a second request with the id of an open one is refused, but a request ends when its client disconnects, while an endpoint may be executing it or has executed it.

If the request that has the id is still open, its client is asked for at once, so that an id which was never forwarded may come again. The 400 no longer closes the connection: it did so over valid requests that had been read behind it, and these got no response.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -134,7 +134,8 @@
                 openRequest = request;
             }
         } catch (BadRequestException e) {
-            reject(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, request.method()));
+            // The request is complete, so that those behind it can be served.
+            respond(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, request.method()), 0);
         } catch (RuntimeException e) {
             // An unexpected exception must not leave the client without a response.
             EventLog.error("failed to serve request " + (request == null ? "" : request.uri()), e);
@@ -282,15 +283,34 @@
                 .with("request", openRequest == null ? "" : openRequest.transactionId()));
     }
 
+    /**
+     * Ends the open request at once if the client has disconnected, before the event that reports the disconnect.
+     *
+     * @return false if the client is connected or may still be
+     */
+    public boolean endIfDisconnected() {
+        if (isConfirmedConnected() || channel.isActive()) {
+            return false;
+        }
+        endOpenRequest();
+        return true;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         phase = phase.withoutFurtherRequests();
         reader.close();
         pipeline.clear();
+        endOpenRequest();
         onInputMemoryChanged();
         server.onClosed(this);
-        if (openRequest != null) {
-            handler.onClientDisconnected(openRequest);
+    }
+
+    private void endOpenRequest() {
+        ClientRequest ended = openRequest;
+        openRequest = null;
+        if (ended != null) {
+            handler.onClientDisconnected(ended);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -25,6 +25,7 @@
 import loadbalancer.policy.discovery.EndpointListLease;
 import loadbalancer.policy.discovery.EndpointListLeaseTerms;
 import loadbalancer.policy.log.PolicyEvent;
+import loadbalancer.policy.retry.ExecutedTransactions;
 import loadbalancer.proxy.config.ConfigurationException;
 import loadbalancer.proxy.config.EndpointList;
 import loadbalancer.proxy.config.ProxyConfiguration;
@@ -79,6 +80,8 @@
      * because its effect could occur twice.
      */
     private final Map<String, InFlightRequest> openRequests = new HashMap<>();
+    /** The ids of earlier requests that must not be executed again. */
+    private final ExecutedTransactions executedTransactions;
 
     private final Attempt.Listener attemptListener = new AttemptListener();
     private long lastRequestId;
@@ -104,6 +107,7 @@
         this.config = config;
         this.loop = loop;
         clock = dependencies.clock();
+        executedTransactions = new ExecutedTransactions(config.settings());
         events = new PolicyEventQueue(loop, request -> abandon(request, HttpResponseStatus.INTERNAL_SERVER_ERROR));
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         MemoryLimits memoryLimits =
@@ -399,10 +403,7 @@
 
     private void acceptRequest(ClientConnection client, ClientRequest request, long arrivedAtUs)
             throws BadRequestException {
-        if (openRequests.containsKey(request.transactionId())) {
-            throw new BadRequestException(
-                    HttpProtocol.TRANSACTION_ID_HEADER, request.transactionId(), "is that of an open request");
-        }
+        requireForwardable(request.transactionId());
         // The deadline counts from the arrival of the request, not from the responses to earlier requests on the same
         // connection.
         long deadlineUs = Math.min(arrivedAtUs + request.remainingUs(), shutdownResponseDeadlineUs);
@@ -423,6 +424,25 @@
                                 request.affinityKey())));
     }
 
+    /** Checks that no request with this id is open, and that none may have been executed that must not be repeated. */
+    private void requireForwardable(String transactionId) throws BadRequestException {
+        InFlightRequest open = openRequests.get(transactionId);
+        if (open != null && !open.client.endIfDisconnected()) {
+            throw new BadRequestException(
+                    HttpProtocol.TRANSACTION_ID_HEADER, transactionId, "is that of an open request");
+        }
+        if (!executedTransactions.mayForward(transactionId, clock.nowUs())) {
+            throw new BadRequestException(
+                    HttpProtocol.TRANSACTION_ID_HEADER,
+                    transactionId,
+                    "is that of a request that may have been executed");
+        }
+    }
+
+    private void rememberExecution(ClientRequest request) {
+        executedTransactions.record(request.transactionId(), request.classIndex(), clock.nowUs());
+    }
+
     // ---------------------------------------------------------------- attempts
 
     private final class AttemptListener implements Attempt.Listener {
@@ -445,6 +465,9 @@
                 .with("endpoint", attempt.endpointId())
                 .with("result", result)
                 .with("after_us", clock.nowUs() - attempt.startedAtUs()));
+        if (!result.knownNotExecuted) {
+            rememberExecution(request.request);
+        }
         if (result == AttemptResult.OK && !request.isEnded) {
             respond(request, HttpResponseStatus.OK, body, 0);
         }
@@ -473,6 +496,9 @@
         request.isEnded = true;
         openRequests.remove(request.request.transactionId());
         request.attempts.forEach(Attempt::cancelIfNotSent);
+        if (request.attempts.stream().anyMatch(Attempt::isInFlight)) {
+            rememberExecution(request.request);
+        }
     }
 
     /** Sends the final response, unless the request has ended. No attempt of the request is sent afterwards. */
--- a/src/main/java/loadbalancer/proxy/routing/Attempt.java
+++ b/src/main/java/loadbalancer/proxy/routing/Attempt.java
@@ -140,6 +140,11 @@
         onCompleted(pool.abandon(endpointId, this) ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, NO_BODY);
     }
 
+    /** Returns whether the attempt has been started and has not ended. */
+    public boolean isInFlight() {
+        return !isCompleted;
+    }
+
     /** Cancels the attempt because its request has ended, unless its message has been written completely. */
     public void cancelIfNotSent() {
         if (!isCompleted && pool.withdraw(endpointId, this)) {
--- a/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
+++ b/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
@@ -37,6 +37,7 @@
     private static final int ANSWER_TIMEOUT_MS = 3_000;
     private static final String REMAINING = "2000m";
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int REJECTED = 503;
 
     /** What a client sends before it disconnects. The first request is under way at an endpoint by then. */
@@ -284,4 +285,20 @@
             Thread.sleep(CONNECTED_MS);
         }
     }
+
+    /** Requests behind one whose id is refused are valid, and have been read. */
+    @Test
+    void requestsBehindARefusedIdGetResponses() throws Exception {
+        String id = HoldingUpstream.EXECUTED_PREFIX + "order";
+        leaveAfterSending(HttpMessages.order(id, REMAINING));
+        try (Socket client =
+                new Socket(node.address().getAddress(), node.address().getPort())) {
+            client.setSoTimeout(ANSWER_TIMEOUT_MS);
+            String served = HttpMessages.page("/api/page", HoldingUpstream.SERVED_PREFIX + "behind", REMAINING);
+            String input = HttpMessages.order(id, REMAINING) + served;
+            client.getOutputStream().write(input.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(BAD_REQUEST, HttpMessages.read(client.getInputStream()).status());
+            assertEquals(OK, HttpMessages.read(client.getInputStream()).status());
+        }
+    }
 }
