Accept responses with a hundred short header fields and more

What callers saw: an endpoint's answer with 100 short fields beside its Content-Length was taken for a malformed one; a request that may not be repeated failed with 502.

Cause: the limit of 100 fields, which bounds what heads of requests may have a node do, applied to responses too. The protocol leaves the headers of a response free.

Change: the limit is set for each direction. A response may have the 2,048 shortest fields that a head of 8 KiB can hold; fields that the proxy does not read take up no memory.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
@@ -19,19 +19,22 @@
  * the bytes of a read that are not decoded yet, which take up less memory than the requests in them.
  */
 final class ClientRequestDecoder extends HttpRequestDecoder {
-    private static final FilteredHeadersFactory HEADERS = new FilteredHeadersFactory(List.of(
-            HttpHeaderNames.CONTENT_LENGTH,
-            HttpHeaderNames.TRANSFER_ENCODING,
-            HttpHeaderNames.CONNECTION,
-            HttpHeaderNames.EXPECT,
-            HttpProtocol.TRANSACTION_ID_HEADER,
-            HttpProtocol.REQUEST_CLASS_HEADER,
-            HttpProtocol.REMAINING_TIME_HEADER,
-            HttpProtocol.TENANT_HEADER,
-            HttpProtocol.ESTIMATED_WORK_HEADER,
-            HttpProtocol.CLIENT_RETRY_HEADER,
-            HttpProtocol.IDEMPOTENCY_KEY_HEADER));
-    private static final FilteredHeadersFactory TRAILERS = new FilteredHeadersFactory(List.of());
+    private static final FilteredHeadersFactory HEADERS = new FilteredHeadersFactory(
+            List.of(
+                    HttpHeaderNames.CONTENT_LENGTH,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.CONNECTION,
+                    HttpHeaderNames.EXPECT,
+                    HttpProtocol.TRANSACTION_ID_HEADER,
+                    HttpProtocol.REQUEST_CLASS_HEADER,
+                    HttpProtocol.REMAINING_TIME_HEADER,
+                    HttpProtocol.TENANT_HEADER,
+                    HttpProtocol.ESTIMATED_WORK_HEADER,
+                    HttpProtocol.CLIENT_RETRY_HEADER,
+                    HttpProtocol.IDEMPOTENCY_KEY_HEADER),
+            ConnectionLimits.MAX_REQUEST_HEADER_FIELDS);
+    private static final FilteredHeadersFactory TRAILERS =
+            new FilteredHeadersFactory(List.of(), ConnectionLimits.MAX_REQUEST_HEADER_FIELDS);
 
     private ChannelHandlerContext context;
     private boolean isRequestIncomplete;
--- a/src/main/java/loadbalancer/proxy/protocol/FilteredHeadersFactory.java
+++ b/src/main/java/loadbalancer/proxy/protocol/FilteredHeadersFactory.java
@@ -10,8 +10,6 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 
-import loadbalancer.proxy.resources.ConnectionLimits;
-
 /**
  * Creates the headers of received messages. They keep only the fields that the proxy reads. All fields are validated and
  * counted, but an unknown field neither takes up memory nor changes how the decoder finds the end of a message.
@@ -20,9 +18,15 @@
     private static final DefaultHttpHeadersFactory VALIDATION = DefaultHttpHeadersFactory.headersFactory();
 
     private final Set<String> retainedNames = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+    private final int maxFields;
 
-    /** Creates a factory of headers that keep the fields with these names only. */
-    public FilteredHeadersFactory(Collection<? extends CharSequence> retainedNames) {
+    /**
+     * Creates a factory of headers that keep the fields with these names only.
+     *
+     * @param maxFields how many fields a message may have, those that are not kept included
+     */
+    public FilteredHeadersFactory(Collection<? extends CharSequence> retainedNames, int maxFields) {
+        this.maxFields = maxFields;
         retainedNames.forEach(name -> this.retainedNames.add(name.toString()));
     }
 
@@ -46,8 +50,8 @@
         @Override
         public HttpHeaders add(CharSequence name, Object value) {
             fieldCount++;
-            if (fieldCount > ConnectionLimits.MAX_HEADER_FIELDS) {
-                throw new TooLongHttpHeaderException("more than " + ConnectionLimits.MAX_HEADER_FIELDS + " fields");
+            if (fieldCount > maxFields) {
+                throw new TooLongHttpHeaderException("more than " + maxFields + " fields");
             }
             if (retainedNames.contains(name.toString())) {
                 return super.add(name, value);
--- a/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
+++ b/src/main/java/loadbalancer/proxy/resources/ConnectionLimits.java
@@ -11,8 +11,11 @@
     /** The maximum initial size of a response buffer, even if the response announces a longer body. */
     public static final int INITIAL_RESPONSE_BUFFER_BYTES = 16 << 10;
 
-    /** The maximum number of header fields of a message. */
-    public static final int MAX_HEADER_FIELDS = 100;
+    /** The maximum number of header fields of a request. */
+    public static final int MAX_REQUEST_HEADER_FIELDS = 100;
+
+    /** The maximum number of header fields of a response: the shortest fields that the maximum size of a head allows. */
+    public static final int MAX_RESPONSE_HEADER_FIELDS = 2_048;
 
     /**
      * The maximum size of a request on the wire, with its head, chunk lengths and trailers. It allows the longest body in
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
@@ -11,18 +11,22 @@
 
 import loadbalancer.proxy.protocol.FilteredHeadersFactory;
 import loadbalancer.proxy.protocol.HttpProtocol;
+import loadbalancer.proxy.resources.ConnectionLimits;
 
 /**
  * Decodes responses of endpoints and rejects ambiguous ones. Netty's decoder is lenient: it accepts a line without a
  * colon as a header without a value, and a status code with a sign.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
-    private static final FilteredHeadersFactory HEADERS = new FilteredHeadersFactory(List.of(
-            HttpHeaderNames.CONTENT_LENGTH,
-            HttpHeaderNames.TRANSFER_ENCODING,
-            HttpHeaderNames.CONNECTION,
-            HttpProtocol.REJECTED_HEADER));
-    private static final FilteredHeadersFactory TRAILERS = new FilteredHeadersFactory(List.of());
+    private static final FilteredHeadersFactory HEADERS = new FilteredHeadersFactory(
+            List.of(
+                    HttpHeaderNames.CONTENT_LENGTH,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.CONNECTION,
+                    HttpProtocol.REJECTED_HEADER),
+            ConnectionLimits.MAX_RESPONSE_HEADER_FIELDS);
+    private static final FilteredHeadersFactory TRAILERS =
+            new FilteredHeadersFactory(List.of(), ConnectionLimits.MAX_RESPONSE_HEADER_FIELDS);
 
     UpstreamResponseDecoder() {
         super(new HttpDecoderConfig().setHeadersFactory(HEADERS).setTrailersFactory(TRAILERS));
--- a/src/test/java/loadbalancer/proxy/upstream/ResponseFramingTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/ResponseFramingTest.java
@@ -86,4 +86,17 @@
             }
         }
     }
+
+    /** The protocol does not limit how many fields a response has, and the proxy keeps none of these. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 1_500})
+    void responseWithManyShortHeaderFieldsIsForwarded(int fields) throws Exception {
+        String response = HttpMessages.response("200 OK", "a:1\r\n".repeat(fields), "body");
+        try (ScriptedHttpServer server = new ScriptedHttpServer((request, peer) -> peer.write(response));
+                ProxyFixture proxyFixture = ProxyFixture.withHeartbeat().start(server)) {
+            HttpMessages.Message forwarded = proxyFixture.ask(HttpMessages.order("t", "20000m"));
+            assertEquals(200, forwarded.status());
+            assertEquals("body", forwarded.body());
+        }
+    }
 }
