Refuse a returning id only once the client of the executed request has disconnected

Cause: every executed id was remembered from its execution on, and forgotten only when another one was recorded.

Change: an id is remembered when its client disconnects, before the response or after it (the client may not have read it), and forgotten in time by the node's housekeeping.

--- a/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
+++ b/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
@@ -56,13 +56,18 @@
         return expiry == null || nowUs >= expiry;
     }
 
+    int size() {
+        return expiresAtUs.size();
+    }
+
     private void forget(String transactionId) {
         if (expiresAtUs.remove(transactionId) != null) {
             characters -= heldCharacters(transactionId);
         }
     }
 
-    private void forgetOldest(long nowUs) {
+    /** Forgets the ids whose time is over, and the oldest ones beyond the limit. */
+    public void forgetOldest(long nowUs) {
         Iterator<Map.Entry<String, Long>> oldestFirst = expiresAtUs.entrySet().iterator();
         while (oldestFirst.hasNext()) {
             Map.Entry<String, Long> oldest = oldestFirst.next();
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -40,6 +40,8 @@
     /** The request that the handler has accepted and not yet responded to, or null. */
     private ClientRequest openRequest;
 
+    private Runnable closeListener = () -> {};
+
     ClientConnection(
             DownstreamServer server,
             Clock clock,
@@ -312,10 +314,16 @@
         if (ended != null) {
             handler.onClientDisconnected(ended);
         }
+        closeListener.run();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    /** Sets what is called when the connection has closed, in place of an earlier listener. */
+    public void setCloseListener(Runnable listener) {
+        closeListener = listener;
+    }
+
         if (!(cause instanceof IOException)) {
             EventLog.error("unexpected error on a client connection", cause);
         }
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -146,6 +146,7 @@
                     public void onClientDisconnected(ClientRequest request) {
                         InFlightRequest disconnected = openRequests.get(request.transactionId());
                         endRequest(disconnected);
+                        rememberExecution(disconnected);
                         events.add(disconnected, () -> {
                             loadBalancer.onClientDisconnected(clock.nowUs(), disconnected.id);
                             removeIfCompleted(disconnected);
@@ -260,6 +261,7 @@
                     () -> {
                         pool.closeExpired();
                         downstream.closeExpired();
+                        executedTransactions.forgetOldest(clock.nowUs());
                     },
                     ConnectionLimits.HOUSEKEEPING_INTERVAL_MS,
                     ConnectionLimits.HOUSEKEEPING_INTERVAL_MS,
@@ -439,8 +441,15 @@
         }
     }
 
-    private void rememberExecution(ClientRequest request) {
-        executedTransactions.record(request.transactionId(), request.classIndex(), clock.nowUs());
+    /** Has the id of a request refused from now on, if the request may have been executed. */
+    private void rememberExecution(InFlightRequest request) {
+        if (request.mayHaveBeenExecuted) {
+            rememberExecution(request.request.transactionId(), request.request.classIndex());
+        }
+    }
+
+    private void rememberExecution(String transactionId, int classIndex) {
+        executedTransactions.record(transactionId, classIndex, clock.nowUs());
     }
 
     // ---------------------------------------------------------------- attempts
@@ -465,9 +474,7 @@
                 .with("endpoint", attempt.endpointId())
                 .with("result", result)
                 .with("after_us", clock.nowUs() - attempt.startedAtUs()));
-        if (!result.knownNotExecuted) {
-            rememberExecution(request.request);
-        }
+        request.mayHaveBeenExecuted |= !result.knownNotExecuted;
         if (result == AttemptResult.OK && !request.isEnded) {
             respond(request, HttpResponseStatus.OK, body, 0);
         }
@@ -496,9 +503,7 @@
         request.isEnded = true;
         openRequests.remove(request.request.transactionId());
         request.attempts.forEach(Attempt::cancelIfNotSent);
-        if (request.attempts.stream().anyMatch(Attempt::isInFlight)) {
-            rememberExecution(request.request);
-        }
+        request.mayHaveBeenExecuted |= request.attempts.stream().anyMatch(Attempt::isInFlight);
     }
 
     /** Sends the final response, unless the request has ended. No attempt of the request is sent afterwards. */
@@ -513,6 +518,12 @@
                 .with("remaining_us", request.deadlineUs - clock.nowUs())
                 .with("retry_after_us", retryAfterUs));
         endRequest(request);
+        if (request.mayHaveBeenExecuted) {
+            // A client that disconnects may not have read its response, and may send the request again.
+            String transactionId = request.request.transactionId();
+            int classIndex = request.request.classIndex();
+            request.client.setCloseListener(() -> rememberExecution(transactionId, classIndex));
+        }
         request.client.respond(status, body, retryAfterUs);
         removeIfCompleted(request);
     }
--- a/src/main/java/loadbalancer/proxy/routing/InFlightRequest.java
+++ b/src/main/java/loadbalancer/proxy/routing/InFlightRequest.java
@@ -15,6 +15,8 @@
     public final List<Attempt> attempts = new ArrayList<>(1);
     /** The number of attempts whose end the decision module has not been notified of. */
     public int outstandingAttempts;
+    /** Whether an endpoint may have executed the request. */
+    public boolean mayHaveBeenExecuted;
     /** Whether the final response has been sent or the client has disconnected. */
     public boolean isEnded;
 
--- a/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
+++ b/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
@@ -268,6 +268,16 @@
         }
     }
 
+    /** The response was sent, but its client has left and may not have read it. */
+    @Test
+    void returningIdOfAnExecutedRequestIsNotExecutedAgainAfterItsClientHasDisconnected() throws Exception {
+        String id = HoldingUpstream.SERVED_PREFIX + "order";
+        assertEquals(OK, ask(HttpMessages.order(id, REMAINING)));
+        Thread.sleep(CONNECTED_MS);
+        assertEquals(BAD_REQUEST, ask(HttpMessages.order(id, REMAINING)));
+        assertEquals(1, arrivals(id).size(), "executions");
+    }
+
     /** A request that waits behind another one was not executed, so that it may come again. */
     @Test
     void returningIdOfARequestThatWasNeverForwardedIsExecutedOnce() throws Exception {
--- a/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
+++ b/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
@@ -1,5 +1,6 @@
 package loadbalancer.policy.retry;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -51,6 +52,14 @@
         assertFalse(transactions.mayForward("a", 3 * DEADLINE_US - 1));
     }
 
+    @Test
+    void expiredIdsAreForgotten() {
+        transactions.record("a", NON_IDEMPOTENT, 0);
+        transactions.record("b", NON_IDEMPOTENT, 1);
+        transactions.forgetOldest(2 * DEADLINE_US);
+        assertEquals(1, transactions.size());
+    }
+
     /** Ever new ids must not take up ever more memory; the oldest are forgotten. */
     @Test
     void oldestIdsAreForgottenBeyondTheLimit() {
