--- a/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
+++ b/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 import loadbalancer.policy.Idempotency;
 import loadbalancer.policy.LoadBalancerSettings;
@@ -22,10 +23,18 @@
     /** Counts for each id besides its characters, so that many short ids are limited as well. */
     private static final int OVERHEAD_CHARACTERS = 100;
 
+    /**
+     * A request that may have been executed.
+     *
+     * @param expiresAtUs the time until which it is remembered
+     * @param hasResponse whether its client has the response
+     */
+    private record Transaction(long expiresAtUs, BooleanSupplier hasResponse) {}
+
     private final LoadBalancerSettings settings;
     private final long retentionUs;
-    /** The time until which each id is remembered, the oldest id first. */
-    private final Map<String, Long> expiresAtUs = new LinkedHashMap<>();
+    /** The transactions by their ids, the oldest first. */
+    private final Map<String, Transaction> transactions = new LinkedHashMap<>();
 
     private long characters;
 
@@ -39,39 +48,45 @@
                         .orElse(0);
     }
 
-    /** Remembers the id of a request that may have been executed, unless the request may be executed any number of times. */
-    public void record(String transactionId, int classIndex, long nowUs) {
+    /**
+     * Remembers the id of a request that may have been executed, unless the request may be executed any number of times.
+     *
+     * @param hasResponse whether the client has the response, asked when the id comes again; false as well if the client
+     *     has disconnected and may not have read it
+     */
+    public void record(String transactionId, int classIndex, BooleanSupplier hasResponse, long nowUs) {
         if (settings.classes.get(classIndex).idempotency() == Idempotency.IDEMPOTENT) {
             return;
         }
         forget(transactionId);
-        expiresAtUs.put(transactionId, nowUs + retentionUs);
+        transactions.put(transactionId, new Transaction(nowUs + retentionUs, hasResponse));
         characters += heldCharacters(transactionId);
         forgetOldest(nowUs);
     }
 
     /** Returns whether a request with this id may be forwarded. */
     public boolean mayForward(String transactionId, long nowUs) {
-        Long expiry = expiresAtUs.get(transactionId);
-        return expiry == null || nowUs >= expiry;
+        Transaction earlier = transactions.get(transactionId);
+        return earlier == null || nowUs >= earlier.expiresAtUs || earlier.hasResponse.getAsBoolean();
     }
 
     int size() {
-        return expiresAtUs.size();
+        return transactions.size();
     }
 
     private void forget(String transactionId) {
-        if (expiresAtUs.remove(transactionId) != null) {
+        if (transactions.remove(transactionId) != null) {
             characters -= heldCharacters(transactionId);
         }
     }
 
     /** Forgets the ids whose time is over, and the oldest ones beyond the limit. */
     public void forgetOldest(long nowUs) {
-        Iterator<Map.Entry<String, Long>> oldestFirst = expiresAtUs.entrySet().iterator();
+        Iterator<Map.Entry<String, Transaction>> oldestFirst =
+                transactions.entrySet().iterator();
         while (oldestFirst.hasNext()) {
-            Map.Entry<String, Long> oldest = oldestFirst.next();
-            if (nowUs < oldest.getValue() && characters <= MAX_CHARACTERS) {
+            Map.Entry<String, Transaction> oldest = oldestFirst.next();
+            if (nowUs < oldest.getValue().expiresAtUs && characters <= MAX_CHARACTERS) {
                 return;
             }
             oldestFirst.remove();
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -40,7 +40,7 @@
     /** The request that the handler has accepted and not yet responded to, or null. */
     private ClientRequest openRequest;
 
-    private Runnable closeListener = () -> {};
+    private final ClientPresence presence = new ClientPresence(this);
 
     ClientConnection(
             DownstreamServer server,
@@ -295,6 +295,11 @@
                 .with("request", openRequest == null ? "" : openRequest.transactionId()));
     }
 
+    /** Returns whether the client is connected, in an object that does not keep this connection in memory. */
+    public ClientPresence presence() {
+        return presence;
+    }
+
     /**
      * Ends the open request at once if the client has disconnected, before the event that reports the disconnect.
      *
@@ -314,16 +319,11 @@
         reader.close();
         pipeline.clear();
         endOpenRequest();
-        closeListener.run();
+        presence.onClosed();
         onInputMemoryChanged();
         server.onClosed(this);
     }
 
-    /** Sets what is called when the connection has closed, in place of an earlier listener. */
-    public void setCloseListener(Runnable listener) {
-        closeListener = listener;
-    }
-
     private void endOpenRequest() {
         ClientRequest ended = openRequest;
         openRequest = null;
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -146,7 +147,7 @@
                     public void onClientDisconnected(ClientRequest request) {
                         InFlightRequest disconnected = openRequests.get(request.transactionId());
                         endRequest(disconnected);
-                        rememberExecution(disconnected);
+                        rememberExecution(disconnected, () -> false);
                         events.add(disconnected, () -> {
                             loadBalancer.onClientDisconnected(clock.nowUs(), disconnected.id);
                             removeIfCompleted(disconnected);
@@ -441,17 +442,14 @@
         }
     }
 
-    /** Has the id of a request refused from now on, if the request may have been executed. */
-    private void rememberExecution(InFlightRequest request) {
+    /** Has the id of a request that may have been executed refused from now on, unless its client has the response. */
+    private void rememberExecution(InFlightRequest request, BooleanSupplier hasResponse) {
         if (request.mayHaveBeenExecuted) {
-            rememberExecution(request.request.transactionId(), request.request.classIndex());
+            executedTransactions.record(
+                    request.request.transactionId(), request.request.classIndex(), hasResponse, clock.nowUs());
         }
     }
 
-    private void rememberExecution(String transactionId, int classIndex) {
-        executedTransactions.record(transactionId, classIndex, clock.nowUs());
-    }
-
     // ---------------------------------------------------------------- attempts
 
     private final class AttemptListener implements Attempt.Listener {
@@ -518,12 +516,7 @@
                 .with("remaining_us", request.deadlineUs - clock.nowUs())
                 .with("retry_after_us", retryAfterUs));
         endRequest(request);
-        if (request.mayHaveBeenExecuted) {
-            // A client that disconnects may not have read its response, and may send the request again.
-            String transactionId = request.request.transactionId();
-            int classIndex = request.request.classIndex();
-            request.client.setCloseListener(() -> rememberExecution(transactionId, classIndex));
-        }
+        rememberExecution(request, request.client.presence()::isConfirmed);
         request.client.respond(status, body, retryAfterUs);
         removeIfCompleted(request);
     }
--- a/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
+++ b/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
@@ -32,30 +32,39 @@
 
     @Test
     void idIsRememberedForTwoDeadlines() {
-        transactions.record("a", NON_IDEMPOTENT, 5);
+        transactions.record("a", NON_IDEMPOTENT, () -> false, 5);
         assertFalse(transactions.mayForward("a", 5));
         assertFalse(transactions.mayForward("a", 4 + 2 * DEADLINE_US));
         assertTrue(transactions.mayForward("a", 5 + 2 * DEADLINE_US));
         assertTrue(transactions.mayForward("b", 5));
     }
 
+    @Test
+    void idMayComeAgainWhileItsClientHasTheResponse() {
+        boolean[] hasResponse = {true};
+        transactions.record("a", NON_IDEMPOTENT, () -> hasResponse[0], 0);
+        assertTrue(transactions.mayForward("a", 1));
+        hasResponse[0] = false;
+        assertFalse(transactions.mayForward("a", 2));
+    }
+
     @Test
     void idempotentRequestMayComeAgain() {
-        transactions.record("a", IDEMPOTENT, 5);
+        transactions.record("a", IDEMPOTENT, () -> false, 5);
         assertTrue(transactions.mayForward("a", 6));
     }
 
     @Test
     void laterExecutionExtendsTheTime() {
-        transactions.record("a", NON_IDEMPOTENT, 0);
-        transactions.record("a", NON_IDEMPOTENT, DEADLINE_US);
+        transactions.record("a", NON_IDEMPOTENT, () -> false, 0);
+        transactions.record("a", NON_IDEMPOTENT, () -> false, DEADLINE_US);
         assertFalse(transactions.mayForward("a", 3 * DEADLINE_US - 1));
     }
 
     @Test
     void expiredIdsAreForgotten() {
-        transactions.record("a", NON_IDEMPOTENT, 0);
-        transactions.record("b", NON_IDEMPOTENT, 1);
+        transactions.record("a", NON_IDEMPOTENT, () -> false, 0);
+        transactions.record("b", NON_IDEMPOTENT, () -> false, 1);
         transactions.forgetOldest(2 * DEADLINE_US);
         assertEquals(1, transactions.size());
     }
@@ -64,7 +73,7 @@
     @Test
     void oldestIdsAreForgottenBeyondTheLimit() {
         for (int i = 0; i < 100_000; i++) {
-            transactions.record("id" + i, NON_IDEMPOTENT, i);
+            transactions.record("id" + i, NON_IDEMPOTENT, () -> false, i);
         }
         assertTrue(transactions.mayForward("id0", 100_000));
         assertFalse(transactions.mayForward("id99999", 100_000));
