Log the connection of each request, the start of attempts and why requests are refused

The records of the incident did not tell which requests shared a connection, when an attempt was started, or that a client had left: a close by the client was not logged.

With LOADBALANCER_LOG=requests: attempt_started is new; response and client_connection_closed name the client's address and port; request_refused tells why the node answers by itself; a close by the client has a line.

Measured: DisconnectedClientTest#logNamesTheConnectionOfEachRequest.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.downstream;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelHandlerContext;
@@ -30,6 +31,7 @@
     private final Clock clock;
     private final ClientRequestHandler handler;
     private final ClientChannel channel;
+    private final SocketAddress clientAddress;
     private final ClientRequestReader reader;
     private final RequestPipeline pipeline = new RequestPipeline();
     private final ClientConnectionMemory memory;
@@ -52,6 +54,7 @@
         this.clock = clock;
         this.handler = handler;
         this.channel = channel;
+        clientAddress = channel.remoteAddress();
         waitingForClientSinceUs = clock.nowUs();
         reader =
                 new ClientRequestReader(this, channel, parser, clock, server.decodingBudget(), waitingForClientSinceUs);
@@ -125,12 +128,15 @@
         }
         if (next.rejection() == null && reader.isReadAheadFull()) {
             // The request would not be forwarded, because the client may have disconnected behind what is not read yet.
+            logRefusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much unread input");
             respond(HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
         } else if (next.rejection() == null) {
             serve(next);
         } else if (next.rejection().closesConnection()) {
+            logRefusal(next.rejection().status(), "invalid or incomplete request");
             reject(next.rejection().status(), next.rejection().reason());
         } else {
+            logRefusal(next.rejection().status(), "out of memory budget");
             respond(next.rejection().status(), next.rejection().reason(), 0);
         }
         onInputMemoryChanged();
@@ -146,6 +152,7 @@
                 openRequest = request;
             }
         } catch (BadRequestException e) {
+            logRefusal(HttpResponseStatus.BAD_REQUEST, e.getMessage());
             // The request is complete, so that those behind it can be served.
             respond(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, request.method()), 0);
         } catch (RuntimeException e) {
@@ -289,8 +296,21 @@
         channel.close();
     }
 
+    private void logRefusal(HttpResponseStatus status, String reason) {
+        EventLog.requestEvent(() -> LogEvent.named("request_refused")
+                .with("client", clientAddress())
+                .with("status", status.code())
+                .with("reason", reason));
+    }
+
+    /** Returns the address and port of the client, which name the connection in the log. */
+    public SocketAddress clientAddress() {
+        return clientAddress;
+    }
+
     private void logClose(String reason) {
         EventLog.requestEvent(() -> LogEvent.named("client_connection_closed")
+                .with("client", clientAddress())
                 .with("reason", reason)
                 .with("request", openRequest == null ? "" : openRequest.transactionId()));
     }
@@ -315,6 +335,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (phase != ClientConnectionPhase.CLOSING) {
+            logClose(CloseReason.CLIENT_DISCONNECTED.toString());
+        }
         phase = phase.withoutFurtherRequests();
         reader.close();
         pipeline.clear();
--- a/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
+++ b/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
@@ -7,6 +7,7 @@
     READ_TIMEOUT("read timeout"),
     WRITE_TIMEOUT("write timeout"),
     WRITE_FAILED("write failed"),
+    CLIENT_DISCONNECTED("client disconnected"),
     CONNECTION_FAILED("connection failed"),
     EVICTED("evicted"),
     OUT_OF_MEMORY_BUDGET("out of memory budget"),
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -511,6 +511,7 @@
         }
         EventLog.requestEvent(() -> LogEvent.named("response")
                 .with("request", request.request.transactionId())
+                .with("client", request.client.clientAddress())
                 .with("status", status.code())
                 .with("attempts", request.attempts.size())
                 .with("remaining_us", request.deadlineUs - clock.nowUs())
@@ -531,6 +532,12 @@
         Attempt attempt =
                 new Attempt(request, endpointId, attemptDeadlineUs, config.settings(), pool, clock, attemptListener);
         request.attempts.add(attempt);
+        EventLog.requestEvent(() -> LogEvent.named("attempt_started")
+                .with("request", request.request.transactionId())
+                .with("client", request.client.clientAddress())
+                .with("attempt", attempt.number())
+                .with("endpoint", endpointId)
+                .with("remaining_us", attemptDeadlineUs - attempt.startedAtUs()));
         attempt.start(loop);
     }
 
--- a/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
+++ b/src/test/java/loadbalancer/faultinjection/DisconnectedClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -35,6 +36,7 @@
     private static final long OBSERVED_MS = 2_000;
 
     private static final int ANSWER_TIMEOUT_MS = 3_000;
+    private static final long LOG_LIMIT_INTERVAL_MS = 1_100;
     private static final String REMAINING = "2000m";
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
@@ -253,6 +255,34 @@
         return TimeUnit.NANOSECONDS.toMillis(arrival.atNanos() - leftAtNanos);
     }
 
+    /** Without this, the records of the incident did not tell which requests shared a connection. */
+    @Test
+    void logNamesTheConnectionOfEachRequest() throws Exception {
+        // The lines of the start-up warm-up use up what a second may have.
+        Thread.sleep(LOG_LIMIT_INTERVAL_MS);
+        String address;
+        try (Socket client =
+                new Socket(node.address().getAddress(), node.address().getPort())) {
+            address = "client=/127.0.0.1:" + client.getLocalPort();
+            String input = HttpMessages.page("/api/page", HoldingUpstream.SERVED_PREFIX + "one", REMAINING)
+                    + HttpMessages.page("/api/page", HoldingUpstream.SERVED_PREFIX + "two", REMAINING);
+            client.getOutputStream().write(input.getBytes(StandardCharsets.ISO_8859_1));
+            HttpMessages.read(client.getInputStream());
+            HttpMessages.read(client.getInputStream());
+        }
+        awaitLogged("event=attempt_started", "request=served-one " + address);
+        awaitLogged("event=response", "request=served-two " + address);
+        awaitLogged("event=client_connection_closed", address + " reason=\"client disconnected\"");
+    }
+
+    private void awaitLogged(String event, String fields) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OBSERVED_MS);
+        while (node.log().lines().noneMatch(line -> line.startsWith(event) && line.contains(fields))) {
+            assertTrue(System.nanoTime() < deadlineNanos, event + " with " + fields + " is not in\n" + node.log());
+            Thread.sleep(1);
+        }
+    }
+
     /** The id of a request that may have been executed comes again, while an endpoint has it and after it has responded. */
     @Test
     void returningIdOfANonIdempotentRequestIsNotExecutedTwice() throws Exception {
--- a/src/test/java/loadbalancer/faultinjection/ProxyProcess.java
+++ b/src/test/java/loadbalancer/faultinjection/ProxyProcess.java
@@ -52,6 +52,7 @@
                 .replace(JAR_OPTION, "-cp '" + System.getProperty("java.class.path") + "' " + Main.class.getName());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
         builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().put("LOADBALANCER_LOG", "requests");
         process = builder.start();
         StandInThreads.start(this::readLog);
     }
