Move requests in flight out of ProxyNode, and postmortem of requests after a disconnect

The two searches for a maximum in ClientConnectionRegistry use streams, without a copy of all connections, and Attempt takes header names from HttpProtocol. No change of behaviour is meant.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
@@ -1,10 +1,13 @@
 package loadbalancer.proxy.downstream;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.resources.DescriptorBudget;
@@ -95,20 +98,16 @@
      * @return false if no connection has input that can be rejected
      */
     boolean rejectLargestInput() {
-        ClientConnection largest = null;
-        for (ClientConnection connection : all()) {
-            if (connection.memory().hasRejectableInput()
-                    && (largest == null
-                            || connection.memory().inputByteSeconds()
-                                    > largest.memory().inputByteSeconds())) {
-                largest = connection;
-            }
-        }
-        if (largest != null) {
-            largest.memory().rejectInput();
-            largest.onInputMemoryChanged();
-        }
-        return largest != null;
+        Optional<ClientConnection> largest = Stream.of(unused, busy, idle)
+                .flatMap(Set::stream)
+                .filter(connection -> connection.memory().hasRejectableInput())
+                .max(Comparator.comparingDouble(
+                        connection -> connection.memory().inputByteSeconds()));
+        largest.ifPresent(connection -> {
+            connection.memory().rejectInput();
+            connection.onInputMemoryChanged();
+        });
+        return largest.isPresent();
     }
 
     /**
@@ -117,18 +116,14 @@
      * @return false if all responses are written
      */
     boolean closeSlowestReader() {
-        ClientConnection slowest = null;
-        for (ClientConnection connection : busy) {
-            if (connection.memory().hasUnwrittenResponse()
-                    && (slowest == null || connection.waitingForClientUs() > slowest.waitingForClientUs())) {
-                slowest = connection;
-            }
-        }
-        if (slowest != null) {
-            slowest.memory().releaseResponse();
-            slowest.close(CloseReason.OUT_OF_MEMORY_BUDGET);
-        }
-        return slowest != null;
+        Optional<ClientConnection> slowest = busy.stream()
+                .filter(connection -> connection.memory().hasUnwrittenResponse())
+                .max(Comparator.comparingLong(ClientConnection::waitingForClientUs));
+        slowest.ifPresent(connection -> {
+            connection.memory().releaseResponse();
+            connection.close(CloseReason.OUT_OF_MEMORY_BUDGET);
+        });
+        return slowest.isPresent();
     }
 
     private static boolean isGracePeriodOver(ClientConnection connection) {
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -1,32 +1,24 @@
 package loadbalancer.proxy.lifecycle;
 
 import java.net.SocketAddress;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 
-import loadbalancer.policy.AttemptOutcome;
-import loadbalancer.policy.AttemptResult;
 import loadbalancer.policy.EndpointListKind;
 import loadbalancer.policy.LoadBalancer;
 import loadbalancer.policy.LoadBalancerActions;
-import loadbalancer.policy.Request;
 import loadbalancer.policy.discovery.DiscoveryCallTiming;
 import loadbalancer.policy.discovery.EndpointListLease;
 import loadbalancer.policy.discovery.EndpointListLeaseTerms;
 import loadbalancer.policy.log.PolicyEvent;
-import loadbalancer.policy.retry.ExecutedTransactions;
 import loadbalancer.proxy.config.ConfigurationException;
 import loadbalancer.proxy.config.EndpointList;
 import loadbalancer.proxy.config.ProxyConfiguration;
@@ -39,15 +31,13 @@
 import loadbalancer.proxy.downstream.DownstreamServer;
 import loadbalancer.proxy.logging.EventLog;
 import loadbalancer.proxy.logging.LogEvent;
-import loadbalancer.proxy.protocol.HttpProtocol;
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.resources.DescriptorBudget;
 import loadbalancer.proxy.resources.MemoryBudget;
 import loadbalancer.proxy.resources.MemoryLimits;
-import loadbalancer.proxy.routing.Attempt;
-import loadbalancer.proxy.routing.InFlightRequest;
 import loadbalancer.proxy.routing.PolicyEventQueue;
+import loadbalancer.proxy.routing.RequestRouter;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
 
 /**
@@ -56,7 +46,6 @@
  * event loop.
  */
 public final class ProxyNode implements LoadBalancerActions {
-    private static final byte[] NO_BODY = {};
     /** The maximum number of attempts to open the listener. With the interval below, they last two seconds. */
     private static final int MAX_LISTEN_ATTEMPTS = 40;
 
@@ -71,28 +60,12 @@
     private final EventLoop loop;
     private final Clock clock;
     private final UpstreamConnectionPool pool;
+    private final RequestRouter router;
+    private final PolicyEventQueue events;
     private final DownstreamServer downstream;
     private final DiscoveryClient discovery;
     private final LoadBalancer loadBalancer;
 
-    private final Map<Long, InFlightRequest> inFlight = new HashMap<>();
-    /**
-     * The requests without a final response, by transaction id. A second request with the id of an open one is refused,
-     * because its effect could occur twice.
-     */
-    private final Map<String, InFlightRequest> openRequests = new HashMap<>();
-    /** The ids of earlier requests that must not be executed again. */
-    private final ExecutedTransactions executedTransactions;
-
-    private final Attempt.Listener attemptListener = new AttemptListener();
-    private long lastRequestId;
-    private final PolicyEventQueue events;
-    /**
-     * The time by which every request must have its response in a graceful shutdown, after which the process is
-     * killed; unlimited before the shutdown.
-     */
-    private long shutdownResponseDeadlineUs = Long.MAX_VALUE;
-
     private boolean isReady;
 
     private Future<?> housekeeping;
@@ -108,8 +81,6 @@
         this.config = config;
         this.loop = loop;
         clock = dependencies.clock();
-        executedTransactions = new ExecutedTransactions(config.settings());
-        events = new PolicyEventQueue(loop, request -> abandon(request, HttpResponseStatus.INTERNAL_SERVER_ERROR));
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         MemoryLimits memoryLimits =
                 MemoryLimits.of(config.maxMemoryBytes(), Runtime.getRuntime().maxMemory());
@@ -123,6 +94,8 @@
                 config.upstreamIdleTimeoutUs(),
                 dependencies.connectionReuseDelayUs(),
                 dependencies.upstreamChannels());
+        router = new RequestRouter(loop, clock, config.settings(), pool);
+        events = router.events();
         downstream = new DownstreamServer(
                 loop,
                 clock,
@@ -135,7 +108,7 @@
                     @Override
                     public void onRequest(ClientConnection client, ClientRequest request, long arrivedAtUs)
                             throws BadRequestException {
-                        acceptRequest(client, request, arrivedAtUs);
+                        router.accept(client, request, arrivedAtUs);
                     }
 
                     @Override
@@ -145,13 +118,7 @@
 
                     @Override
                     public void onClientDisconnected(ClientRequest request) {
-                        InFlightRequest disconnected = openRequests.get(request.transactionId());
-                        endRequest(disconnected);
-                        rememberExecution(disconnected, () -> false);
-                        events.add(disconnected, () -> {
-                            loadBalancer.onClientDisconnected(clock.nowUs(), disconnected.id);
-                            removeIfCompleted(disconnected);
-                        });
+                        router.onClientDisconnected(request);
                     }
                 });
         discovery = new DiscoveryClient(
@@ -174,6 +141,7 @@
                 },
                 dependencies.discoveryChannels());
         loadBalancer = dependencies.loadBalancers().apply(this);
+        router.setLoadBalancer(loadBalancer);
     }
 
     // ---------------------------------------------------------------- start and shutdown
@@ -262,7 +230,7 @@
                     () -> {
                         pool.closeExpired();
                         downstream.closeExpired();
-                        executedTransactions.forgetOldest(clock.nowUs());
+                        router.forgetExpired();
                     },
                     ConnectionLimits.HOUSEKEEPING_INTERVAL_MS,
                     ConnectionLimits.HOUSEKEEPING_INTERVAL_MS,
@@ -335,31 +303,16 @@
      */
     public void beginGracefulShutdown(ShutdownSchedule schedule, Runnable whenDrained) {
         loop.execute(() -> {
-            shutdownResponseDeadlineUs = clock.nowUs() + schedule.responseDeadlineUs();
+            router.setResponseDeadline(clock.nowUs() + schedule.responseDeadlineUs());
             downstream.drain(schedule.servingTimeUs(), whenDrained);
-            loop.schedule(this::failInFlight, schedule.responseDeadlineUs(), TimeUnit.MICROSECONDS);
+            loop.schedule(router::failInFlight, schedule.responseDeadlineUs(), TimeUnit.MICROSECONDS);
         });
     }
 
-    /** Fails the requests that still have no final response shortly before the process is killed. */
-    private void failInFlight() {
-        for (InFlightRequest request : List.copyOf(inFlight.values())) {
-            if (!request.isEnded) {
-                abandon(request, HttpResponseStatus.GATEWAY_TIMEOUT);
-            }
-        }
-    }
-
-    /** Responds without a decision of the module, and notifies the module that the request has ended. */
-    private void abandon(InFlightRequest request, HttpResponseStatus status) {
-        respond(request, status, NO_BODY, 0);
-        events.add(null, () -> loadBalancer.onClientDisconnected(clock.nowUs(), request.id));
-    }
-
     /** Returns the current counts. Must be called on the event loop. */
     ProxyNodeCounts counts() {
         return new ProxyNodeCounts(
-                inFlight.size(), pool.exchangeCount(), downstream.connectionCount(), pool.openDescriptorCount());
+                router.requestCount(), pool.exchangeCount(), downstream.connectionCount(), pool.openDescriptorCount());
     }
 
     /**
@@ -404,166 +357,26 @@
         });
     }
 
-    private void acceptRequest(ClientConnection client, ClientRequest request, long arrivedAtUs)
-            throws BadRequestException {
-        requireForwardable(request.transactionId());
-        // The deadline counts from the arrival of the request, not from the responses to earlier requests on the same
-        // connection.
-        long deadlineUs = Math.min(arrivedAtUs + request.remainingUs(), shutdownResponseDeadlineUs);
-        InFlightRequest accepted = new InFlightRequest(++lastRequestId, request, client, deadlineUs);
-        openRequests.put(request.transactionId(), accepted);
-        inFlight.put(accepted.id, accepted);
-        events.add(
-                accepted,
-                () -> loadBalancer.onRequest(
-                        clock.nowUs(),
-                        new Request(
-                                accepted.id,
-                                request.classIndex(),
-                                request.tenantIndex(),
-                                Math.max(0, accepted.deadlineUs - clock.nowUs()),
-                                request.estimatedWorkUs(),
-                                request.isRetry(),
-                                request.affinityKey())));
-    }
-
-    /** Checks that no request with this id is open, and that none may have been executed that must not be repeated. */
-    private void requireForwardable(String transactionId) throws BadRequestException {
-        InFlightRequest open = openRequests.get(transactionId);
-        if (open != null && !open.client.endIfDisconnected()) {
-            throw new BadRequestException(
-                    HttpProtocol.TRANSACTION_ID_HEADER, transactionId, "is that of an open request");
-        }
-        if (!executedTransactions.mayForward(transactionId, clock.nowUs())) {
-            throw new BadRequestException(
-                    HttpProtocol.TRANSACTION_ID_HEADER,
-                    transactionId,
-                    "is that of a request that may have been executed");
-        }
-    }
-
-    /** Has the id of a request that may have been executed refused from now on, unless its client has the response. */
-    private void rememberExecution(InFlightRequest request, BooleanSupplier hasResponse) {
-        if (request.mayHaveBeenExecuted) {
-            executedTransactions.record(
-                    request.request.transactionId(), request.request.classIndex(), hasResponse, clock.nowUs());
-        }
-    }
-
-    // ---------------------------------------------------------------- attempts
-
-    private final class AttemptListener implements Attempt.Listener {
-        @Override
-        public boolean isSendPermitted(Attempt attempt) {
-            return loadBalancer.isSendPermitted(clock.nowUs(), attempt.request().id, attempt.number());
-        }
-
-        @Override
-        public void onAttemptEnded(Attempt attempt, AttemptResult result, byte[] body) {
-            ProxyNode.this.onAttemptEnded(attempt, result, body);
-        }
-    }
-
-    private void onAttemptEnded(Attempt attempt, AttemptResult result, byte[] body) {
-        InFlightRequest request = attempt.request();
-        EventLog.requestEvent(() -> LogEvent.named("attempt_ended")
-                .with("request", request.request.transactionId())
-                .with("attempt", attempt.number())
-                .with("endpoint", attempt.endpointId())
-                .with("result", result)
-                .with("after_us", clock.nowUs() - attempt.startedAtUs()));
-        request.mayHaveBeenExecuted |= !result.knownNotExecuted;
-        if (result == AttemptResult.OK && !request.isEnded) {
-            respond(request, HttpResponseStatus.OK, body, 0);
-        }
-        events.add(request, () -> {
-            request.outstandingAttempts--;
-            removeIfCompleted(request);
-            loadBalancer.onAttemptOutcome(
-                    clock.nowUs(),
-                    new AttemptOutcome(
-                            request.id,
-                            attempt.number(),
-                            result,
-                            clock.nowUs() - attempt.startedAtUs(),
-                            request.isEnded,
-                            null));
-        });
-    }
-
-    private void removeIfCompleted(InFlightRequest request) {
-        if (request.isEnded && request.outstandingAttempts == 0) {
-            inFlight.remove(request.id);
-        }
-    }
-
-    private void endRequest(InFlightRequest request) {
-        request.isEnded = true;
-        openRequests.remove(request.request.transactionId());
-        request.attempts.forEach(Attempt::cancelIfNotSent);
-        request.mayHaveBeenExecuted |= request.attempts.stream().anyMatch(Attempt::isInFlight);
-    }
-
-    /** Sends the final response, unless the request has ended. No attempt of the request is sent afterwards. */
-    private void respond(InFlightRequest request, HttpResponseStatus status, byte[] body, long retryAfterUs) {
-        if (request.isEnded) {
-            return;
-        }
-        EventLog.requestEvent(() -> LogEvent.named("response")
-                .with("request", request.request.transactionId())
-                .with("client", request.client.clientAddress())
-                .with("status", status.code())
-                .with("attempts", request.attempts.size())
-                .with("remaining_us", request.deadlineUs - clock.nowUs())
-                .with("retry_after_us", retryAfterUs));
-        endRequest(request);
-        rememberExecution(request, request.client.presence()::isConfirmed);
-        request.client.respond(status, body, retryAfterUs);
-        removeIfCompleted(request);
-    }
-
     // ---------------------------------------------------------------- actions of the module
 
     @Override
     public void startAttempt(long requestId, String endpointId, long deadlineUs) {
-        InFlightRequest request = inFlight.get(requestId);
-        // The deadline of the request applies if the module sets none.
-        long attemptDeadlineUs = deadlineUs == 0 ? request.deadlineUs : Math.min(deadlineUs, request.deadlineUs);
-        Attempt attempt =
-                new Attempt(request, endpointId, attemptDeadlineUs, config.settings(), pool, clock, attemptListener);
-        request.attempts.add(attempt);
-        EventLog.requestEvent(() -> LogEvent.named("attempt_started")
-                .with("request", request.request.transactionId())
-                .with("client", request.client.clientAddress())
-                .with("attempt", attempt.number())
-                .with("endpoint", endpointId)
-                .with("remaining_us", attemptDeadlineUs - attempt.startedAtUs()));
-        attempt.start(loop);
+        router.startAttempt(requestId, endpointId, deadlineUs);
     }
 
     @Override
     public void cancelAttempt(long requestId, int attemptNumber) {
-        InFlightRequest request = inFlight.get(requestId);
-        if (request != null) {
-            request.attempts.get(attemptNumber).cancel();
-        }
+        router.cancelAttempt(requestId, attemptNumber);
     }
 
     @Override
     public void reject(long requestId, long retryAfterUs) {
-        finish(requestId, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterUs);
+        router.reject(requestId, retryAfterUs);
     }
 
     @Override
     public void fail(long requestId) {
-        finish(requestId, HttpResponseStatus.BAD_GATEWAY, 0);
-    }
-
-    private void finish(long requestId, HttpResponseStatus status, long retryAfterUs) {
-        InFlightRequest request = inFlight.get(requestId);
-        if (request != null) {
-            respond(request, status, NO_BODY, retryAfterUs);
-        }
+        router.fail(requestId);
     }
 
     /** {@inheritDoc} Replaces a timer that is already set: the module has one pending timer at most. */
--- a/src/main/java/loadbalancer/proxy/routing/Attempt.java
+++ b/src/main/java/loadbalancer/proxy/routing/Attempt.java
@@ -14,6 +14,7 @@
 import loadbalancer.policy.AttemptResult;
 import loadbalancer.policy.LoadBalancerSettings;
 import loadbalancer.proxy.downstream.ClientRequest;
+import loadbalancer.proxy.protocol.HttpProtocol;
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
 import loadbalancer.proxy.upstream.UpstreamExchange;
@@ -97,11 +98,15 @@
                 Unpooled.wrappedBuffer(clientRequest.body()));
         message.headers()
                 .set(HttpHeaderNames.HOST, "backend.local")
-                .set("X-Txn", clientRequest.transactionId())
-                .set("X-Lane", settings.classes.get(clientRequest.classIndex()).name())
-                .set("X-Remaining", Math.max(1, deadlineUs - clock.nowUs()) + "u");
+                .set(HttpProtocol.TRANSACTION_ID_HEADER, clientRequest.transactionId())
+                .set(
+                        HttpProtocol.REQUEST_CLASS_HEADER,
+                        settings.classes.get(clientRequest.classIndex()).name())
+                .set(
+                        HttpProtocol.REMAINING_TIME_HEADER,
+                        Math.max(1, deadlineUs - clock.nowUs()) + HttpProtocol.REMAINING_TIME_MICROSECONDS_UNIT);
         if (clientRequest.idempotencyKey() != null) {
-            message.headers().set("Idempotency-Key", clientRequest.idempotencyKey());
+            message.headers().set(HttpProtocol.IDEMPOTENCY_KEY_HEADER, clientRequest.idempotencyKey());
         }
         // A body without its length would be a further request to the endpoint.
         if (clientRequest.body().length > 0 || !clientRequest.method().equals(HttpMethod.GET)) {
