Give no surplus response after requests that were read ahead are rejected

What callers would have seen: after a node had rejected pipelined requests for lack of memory, the client's next request got a 503 that belonged to none, and the connection closed.

Cause: the rejection decodes past the input filter, so that the phase still said that a request had arrived in part, and that one was rejected too.

Change: the phase follows the decoding in both places.

Measured: MemoryPressureTest asks each connection for one more request: 503 before, 200 now.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -16,7 +16,6 @@
 import io.netty.util.ReferenceCountUtil;
 
 import loadbalancer.proxy.logging.EventLog;
-import loadbalancer.proxy.logging.LogEvent;
 import loadbalancer.proxy.resources.Clock;
 import loadbalancer.proxy.resources.ConnectionLimits;
 
@@ -31,7 +30,7 @@
     private final Clock clock;
     private final ClientRequestHandler handler;
     private final ClientChannel channel;
-    private final SocketAddress clientAddress;
+    private final ClientConnectionLog log;
     private final ClientRequestReader reader;
     private final RequestPipeline pipeline = new RequestPipeline();
     private final ClientConnectionMemory memory;
@@ -54,7 +53,7 @@
         this.clock = clock;
         this.handler = handler;
         this.channel = channel;
-        clientAddress = channel.remoteAddress();
+        log = new ClientConnectionLog(channel.remoteAddress());
         waitingForClientSinceUs = clock.nowUs();
         reader =
                 new ClientRequestReader(this, channel, parser, clock, server.decodingBudget(), waitingForClientSinceUs);
@@ -126,17 +125,17 @@
         if (!next.isKeepAlive()) {
             phase = phase.withoutFurtherRequests();
         }
-        if (next.rejection() == null && reader.isReadAheadFull()) {
+        if (next.rejection() == null && reader.readAhead().isFull()) {
             // The request would not be forwarded, because the client may have disconnected behind what is not read yet.
-            logRefusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much unread input");
+            log.refused(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much unread input");
             respond(HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
         } else if (next.rejection() == null) {
             serve(next);
         } else if (next.rejection().closesConnection()) {
-            logRefusal(next.rejection().status(), "invalid or incomplete request");
+            log.refused(next.rejection().status(), "invalid or incomplete request");
             reject(next.rejection().status(), next.rejection().reason());
         } else {
-            logRefusal(next.rejection().status(), "out of memory budget");
+            log.refused(next.rejection().status(), "out of memory budget");
             respond(next.rejection().status(), next.rejection().reason(), 0);
         }
         onInputMemoryChanged();
@@ -152,7 +151,7 @@
                 openRequest = request;
             }
         } catch (BadRequestException e) {
-            logRefusal(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+            log.refused(HttpResponseStatus.BAD_REQUEST, e.getMessage());
             // The request is complete, so that those behind it can be served.
             respond(HttpResponseStatus.BAD_REQUEST, ClientResponses.reasonOf(e, request.method()), 0);
         } catch (RuntimeException e) {
@@ -264,7 +263,7 @@
      * it returns false if that exceeds the limit, because the end of the stream may be behind it.
      */
     public boolean isConfirmedConnected() {
-        return channel.isActive() && reader.readAhead();
+        return channel.isActive() && reader.readAhead().confirmConnected();
     }
 
     /** Returns whether no bytes of a further request have arrived since the last complete request. */
@@ -283,7 +282,7 @@
      * are left unread, so that the client knows that they had no effect. After an invalid request, they are discarded.
      */
     void closeGracefully(CloseReason reason) {
-        logClose(reason.toString());
+        log.closed(reason.toString(), openRequest);
         phase = phase.withoutFurtherRequests();
         reader.detectCloseOnly();
         reader.close();
@@ -292,27 +291,13 @@
     }
 
     void close(CloseReason reason) {
-        logClose(reason.toString());
+        log.closed(reason.toString(), openRequest);
         channel.close();
     }
 
-    private void logRefusal(HttpResponseStatus status, String reason) {
-        EventLog.requestEvent(() -> LogEvent.named("request_refused")
-                .with("client", clientAddress())
-                .with("status", status.code())
-                .with("reason", reason));
-    }
-
     /** Returns the address and port of the client, which name the connection in the log. */
     public SocketAddress clientAddress() {
-        return clientAddress;
-    }
-
-    private void logClose(String reason) {
-        EventLog.requestEvent(() -> LogEvent.named("client_connection_closed")
-                .with("client", clientAddress())
-                .with("reason", reason)
-                .with("request", openRequest == null ? "" : openRequest.transactionId()));
+        return log.clientAddress();
     }
 
     /** Returns whether the client is connected, in an object that does not keep this connection in memory. */
@@ -335,9 +320,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (phase != ClientConnectionPhase.CLOSING) {
-            logClose(CloseReason.CLIENT_DISCONNECTED.toString());
-        }
+        log.closed(CloseReason.CLIENT_DISCONNECTED.toString(), openRequest);
         phase = phase.withoutFurtherRequests();
         reader.close();
         pipeline.clear();
@@ -360,7 +343,7 @@
         if (!(cause instanceof IOException)) {
             EventLog.error("unexpected error on a client connection", cause);
         }
-        logClose(CloseReason.CONNECTION_FAILED + ": " + cause.getMessage());
+        log.closed(CloseReason.CONNECTION_FAILED + ": " + cause.getMessage(), openRequest);
         channel.close();
     }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
@@ -34,6 +34,7 @@
     private final Clock clock;
     private final long connectedAtUs;
     private final ClientRequestDecoder decoder;
+    private final ReadAhead readAhead;
 
     private InputPhase phase = InputPhase.BETWEEN_REQUESTS;
     /** Whether a request has been received, either complete or rejected. */
@@ -59,6 +60,12 @@
         this.clock = clock;
         this.connectedAtUs = connectedAtUs;
         decoder = new ClientRequestDecoder(budget, () -> budget.defer(this::continueDecoding));
+        readAhead = new ReadAhead(channel, decoder);
+    }
+
+    /** Returns what reads the connection ahead of the decoding of its requests. */
+    ReadAhead readAhead() {
+        return readAhead;
     }
 
     ClientRequestDecoder decoder() {
@@ -90,8 +97,12 @@
         if (decoder.requestBytes() > ConnectionLimits.MAX_REQUEST_WIRE_BYTES && !phase.isClosed()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
+        onBufferedDecoded();
+    }
+
+    private void onBufferedDecoded() {
         phase = phase.onBytesDecoded(head != null || decoder.hasPartialRequest());
-        updateReading();
+        readAhead.updateReading();
     }
 
     /** Processes the next decoded part of a request. */
@@ -207,7 +218,7 @@
         decoder.setPaused(false);
         decoder.decodeAllBuffered();
         isShedding = false;
-        updateReading();
+        onBufferedDecoded();
         if (phase == InputPhase.IN_REQUEST) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
@@ -235,53 +246,14 @@
         if (decoder.isPaused()) {
             decoder.setPaused(false);
             requestStartedAtUs = clock.nowUs();
-            decodeBuffered();
+            readAhead.decodeBuffered();
         }
     }
 
     private void continueDecoding() {
         decoder.endYield();
-        updateReading();
-        decodeBuffered();
-    }
-
-    /** Decodes the bytes that have been read and not decoded yet. */
-    private void decodeBuffered() {
-        channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
-    }
-
-    /**
-     * Reads the bytes that the client has sent, up to a limit and without decoding them, because the end of the stream is
-     * behind them.
-     *
-     * @return whether the client is connected; false if it is not, or if there is more to read
-     */
-    boolean readAhead() {
-        boolean isPaused = decoder.isPaused();
-        int bufferedBefore = decoder.bufferedBytes();
-        decoder.setPaused(true);
-        boolean isConnected = channel.drain(ConnectionLimits.MAX_READ_AHEAD_BYTES - bufferedBefore);
-        decoder.setPaused(isPaused);
-        if (!isPaused && decoder.bufferedBytes() > bufferedBefore) {
-            channel.eventLoop().execute(this::decodeBuffered);
-        }
-        return isConnected;
-    }
-
-    /** Returns whether so much is waiting to be decoded that the proxy has stopped reading. */
-    boolean isReadAheadFull() {
-        return decoder.bufferedBytes() >= ConnectionLimits.MAX_READ_AHEAD_BYTES;
-    }
-
-    private void updateReading() {
-        // Reading starts again only at half of the limit, because each read copies the bytes that wait.
-        int limit = channel.config().isAutoRead()
-                ? ConnectionLimits.MAX_READ_AHEAD_BYTES
-                : ConnectionLimits.MAX_READ_AHEAD_BYTES / 2;
-        boolean isWanted = !decoder.isYielding() && decoder.bufferedBytes() < limit;
-        if (channel.config().isAutoRead() != isWanted) {
-            channel.config().setAutoRead(isWanted);
-        }
+        readAhead.updateReading();
+        readAhead.decodeBuffered();
     }
 
     /** Closes the input: all bytes that arrive from now on are discarded. */
--- a/src/test/java/loadbalancer/proxy/downstream/MemoryPressureTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/MemoryPressureTest.java
@@ -112,6 +112,10 @@
                 }
             }
             assertTrue(rejected > 0 && rejected < clients.size() * requests, rejected + " rejected");
+            for (int i = 0; i < clients.size(); i++) {
+                HttpMessages.Message next = ProxyFixture.ask(clients.get(i), HttpMessages.page("next" + i));
+                assertEquals(200, next.status(), "no response but those to its requests precedes it");
+            }
         }
     }
 
