Soak: a response to another request is a violation; one connection for both clients

KeepAliveClient and TimedClient share ReconnectingSocket. The endpoints of the soak respond with the id of the request, and the client compares it.

--- a/src/test/java/loadbalancer/faultinjection/DisconnectScenario.java
+++ b/src/test/java/loadbalancer/faultinjection/DisconnectScenario.java
@@ -197,6 +197,9 @@
         if (result.ending() == Ending.NO_RESPONSE || (result.ending() == Ending.CLOSED && isForwarded)) {
             violations.add("lost: " + result);
         }
+        if (result.ending() == Ending.FOREIGN_RESPONSE) {
+            violations.add("response to another request: " + result);
+        }
         if (result.isOrder() && count > 1) {
             violations.add("executed " + count + " times: " + result);
         }
--- a/src/test/java/loadbalancer/faultinjection/KeepAliveClient.java
+++ b/src/test/java/loadbalancer/faultinjection/KeepAliveClient.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -22,6 +20,8 @@
     enum Ending {
         /** A final response arrived. */
         RESPONSE,
+        /** The response to another request arrived. */
+        FOREIGN_RESPONSE,
         /** The connection was closed without a response, twice. */
         CLOSED,
         /** No response arrived until half a second after the deadline. */
@@ -41,15 +41,15 @@
     private static final long PAUSE_MS = 10;
     private static final int MAX_SENDS = 2;
     private static final int CLASSES = 2;
+    private static final int OK = 200;
 
-    private final InetSocketAddress nodeAddress;
+    private final ReconnectingSocket socket;
     private final String name;
     private final Queue<Result> results = new ConcurrentLinkedQueue<>();
     private volatile boolean closed;
-    private Socket connection;
 
     KeepAliveClient(InetSocketAddress nodeAddress, String name) {
-        this.nodeAddress = nodeAddress;
+        socket = new ReconnectingSocket(nodeAddress);
         this.name = name;
         StandInThreads.start(this::run);
     }
@@ -72,22 +72,21 @@
         for (int send = 1; !closed; send++) {
             long sentAtNanos = System.nanoTime();
             try {
-                ensureConnected();
-                sentAtNanos = System.nanoTime();
-                connection.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-                int status = HttpMessages.read(connection.getInputStream()).status();
-                results.add(new Result(id, isOrder, Ending.RESPONSE, status, sentAtNanos));
+                HttpMessages.Message response = socket.ask(request, LOST_AFTER_MS);
+                boolean isForeign = response.status() == OK && !response.body().equals(id);
+                Ending ending = isForeign ? Ending.FOREIGN_RESPONSE : Ending.RESPONSE;
+                results.add(new Result(id, isOrder, ending, response.status(), sentAtNanos));
                 return;
             } catch (ConnectException e) {
                 // The node does not listen any more, so that the request was not sent.
-                disconnect();
+                socket.disconnect();
                 return;
             } catch (SocketTimeoutException e) {
                 results.add(new Result(id, isOrder, Ending.NO_RESPONSE, 0, sentAtNanos));
-                disconnect();
+                socket.disconnect();
                 return;
             } catch (IOException e) {
-                disconnect();
+                socket.disconnect();
                 if (send == MAX_SENDS) {
                     results.add(new Result(id, isOrder, Ending.CLOSED, 0, sentAtNanos));
                     return;
@@ -97,26 +96,6 @@
         }
     }
 
-    private void ensureConnected() throws IOException {
-        if (connection == null) {
-            connection = new Socket();
-            connection.setTcpNoDelay(true);
-            connection.setSoTimeout(LOST_AFTER_MS);
-            connection.connect(nodeAddress);
-        }
-    }
-
-    private void disconnect() {
-        try {
-            if (connection != null) {
-                connection.close();
-            }
-        } catch (IOException e) {
-            // The connection has ended in another way.
-        }
-        connection = null;
-    }
-
     @Override
     public void close() {
         closed = true;
--- a/src/test/java/loadbalancer/faultinjection/TimedClient.java
+++ b/src/test/java/loadbalancer/faultinjection/TimedClient.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -24,19 +22,17 @@
     private static final long REQUEST_PAUSE_MS = 10;
     private static final int OK = 200;
 
-    private final InetSocketAddress nodeAddress;
+    private final ReconnectingSocket socket;
     private final String clientName;
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger servedOnTime = new AtomicInteger();
     private final AtomicInteger unserved = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private volatile boolean closed;
-    /** The open connection, or null. Used on the thread of the client only. */
-    private Socket connection;
 
     TimedClient(String clientName, InetSocketAddress nodeAddress) {
         this.clientName = clientName;
-        this.nodeAddress = nodeAddress;
+        socket = new ReconnectingSocket(nodeAddress);
         StandInThreads.start(this::run);
     }
 
@@ -64,7 +60,7 @@
         for (int requestNumber = 0; !closed; requestNumber++) {
             long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LOST_AFTER_MS);
             while (!sendRequest(clientName + "-" + requestNumber, deadlineNanos)) {
-                closeConnection();
+                socket.disconnect();
                 if (System.nanoTime() >= deadlineNanos) {
                     lost.incrementAndGet();
                     break;
@@ -72,7 +68,7 @@
             }
             Thread.sleep(REQUEST_PAUSE_MS);
         }
-        closeConnection();
+        socket.disconnect();
     }
 
     /** Returns false if there was no complete response, because the connection closed or the deadline has passed. */
@@ -82,15 +78,8 @@
             return false;
         }
         try {
-            if (connection == null) {
-                connection = new Socket();
-                connection.setTcpNoDelay(true);
-                connection.connect(nodeAddress, remainingMs);
-            }
-            connection.setSoTimeout(remainingMs);
             String request = HttpMessages.page("/api/page", requestId, REMAINING_MS + "m");
-            connection.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            boolean isServed = HttpMessages.read(connection.getInputStream()).status() == OK;
+            boolean isServed = socket.ask(request, remainingMs).status() == OK;
             (isServed ? served : unserved).incrementAndGet();
             if (isServed && System.nanoTime() < deadlineNanos - AFTER_OBJECTIVE_NANOS) {
                 servedOnTime.incrementAndGet();
@@ -102,17 +91,6 @@
         }
     }
 
-    private void closeConnection() {
-        try {
-            if (connection != null) {
-                connection.close();
-            }
-        } catch (IOException e) {
-            // The connection has failed already.
-        }
-        connection = null;
-    }
-
     @Override
     public void close() {
         closed = true;
--- a/src/test/java/loadbalancer/faultinjection/UnreliableUpstream.java
+++ b/src/test/java/loadbalancer/faultinjection/UnreliableUpstream.java
@@ -17,7 +17,7 @@
 import loadbalancer.testsupport.HttpMessages;
 
 /**
- * An endpoint that responds quickly, slowly or with an error, rejects requests after a while, or resets connections. A
+ * An endpoint that responds with the id of the request quickly, slowly or with an error, rejects requests after a while, or resets connections. A
  * seed decides which request gets which response.
  */
 final class UnreliableUpstream implements AutoCloseable {
@@ -86,7 +86,7 @@
                 socket.setSoLinger(true, 0);
                 return;
             }
-            String response = percent < 70 ? HttpMessages.ok("x") : HttpMessages.response("500 No", "", "");
+            String response = percent < 70 ? HttpMessages.ok(id) : HttpMessages.response("500 No", "", "");
             socket.getOutputStream().write((isRejected ? REJECTION : response).getBytes(StandardCharsets.ISO_8859_1));
         }
     }
