Refuse an id that comes twice on one connection, and split the client connection

Cause: an executed id was accepted again while its client was connected, which was to stand for a client that has read its response.

Change: it is accepted again from another connection only. A disconnect that has not been reported yet is handled by RequestRouter, which tells requests of the same id apart by their connection.

--- a/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
+++ b/src/main/java/loadbalancer/policy/retry/ExecutedTransactions.java
@@ -3,7 +3,6 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 
 import loadbalancer.policy.Idempotency;
 import loadbalancer.policy.LoadBalancerSettings;
@@ -23,13 +22,24 @@
     /** Counts for each id besides its characters, so that many short ids are limited as well. */
     private static final int OVERHEAD_CHARACTERS = 100;
 
+    /** The connection of a client. */
+    public interface Client {
+        /** Returns whether the client is certainly connected. */
+        boolean isConnected();
+    }
+
     /**
      * A request that may have been executed.
      *
      * @param expiresAtUs the time until which it is remembered
-     * @param hasResponse whether its client has the response
+     * @param respondedTo the client that got the response, or null if it had left before
      */
-    private record Transaction(long expiresAtUs, BooleanSupplier hasResponse) {}
+    private record Transaction(long expiresAtUs, Client respondedTo) {
+        /** Returns whether the first client has its response, and another one uses the id again. */
+        boolean mayComeAgainFrom(Client client) {
+            return respondedTo != null && !respondedTo.equals(client) && respondedTo.isConnected();
+        }
+    }
 
     private final LoadBalancerSettings settings;
     private final long retentionUs;
@@ -51,23 +61,26 @@
     /**
      * Remembers the id of a request that may have been executed, unless the request may be executed any number of times.
      *
-     * @param hasResponse whether the client has the response, asked when the id comes again; false as well if the client
-     *     has disconnected and may not have read it
+     * @param respondedTo the client that gets the response, or null if it has left; once it has left, it may not have read
+     *     the response
      */
-    public void record(String transactionId, int classIndex, BooleanSupplier hasResponse, long nowUs) {
+    public void record(String transactionId, int classIndex, Client respondedTo, long nowUs) {
         if (settings.classes.get(classIndex).idempotency() == Idempotency.IDEMPOTENT) {
             return;
         }
         forget(transactionId);
-        transactions.put(transactionId, new Transaction(nowUs + retentionUs, hasResponse));
+        transactions.put(transactionId, new Transaction(nowUs + retentionUs, respondedTo));
         characters += heldCharacters(transactionId);
         forgetOldest(nowUs);
     }
 
-    /** Returns whether a request with this id may be forwarded. */
-    public boolean mayForward(String transactionId, long nowUs) {
+    /**
+     * Returns whether a request with this id may be forwarded. On one connection an id may not come again, because it may
+     * have been sent before the response to the first request was read.
+     */
+    public boolean mayForward(String transactionId, Client client, long nowUs) {
         Transaction earlier = transactions.get(transactionId);
-        return earlier == null || nowUs >= earlier.expiresAtUs || earlier.hasResponse.getAsBoolean();
+        return earlier == null || nowUs >= earlier.expiresAtUs || earlier.mayComeAgainFrom(client);
     }
 
     int size() {
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -1,7 +1,6 @@
 package loadbalancer.proxy.downstream;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelHandlerContext;
@@ -27,22 +26,19 @@
     private static final byte[] EMPTY_BODY = {};
 
     private final DownstreamServer server;
-    private final Clock clock;
     private final ClientRequestHandler handler;
     private final ClientChannel channel;
     private final ClientConnectionLog log;
+    private final ClientTimeouts timeouts;
     private final ClientRequestReader reader;
     private final RequestPipeline pipeline = new RequestPipeline();
     private final ClientConnectionMemory memory;
+    private final ClientPresence presence;
 
     private ClientConnectionPhase phase = ClientConnectionPhase.IDLE;
-    /** When the proxy began to wait for the client to send a request or to receive the response. */
-    private long waitingForClientSinceUs;
     /** The request that the handler has accepted and not yet responded to, or null. */
     private ClientRequest openRequest;
 
-    private final ClientPresence presence = new ClientPresence(this);
-
     ClientConnection(
             DownstreamServer server,
             Clock clock,
@@ -50,14 +46,13 @@
             ClientRequestHandler handler,
             ClientChannel channel) {
         this.server = server;
-        this.clock = clock;
         this.handler = handler;
         this.channel = channel;
         log = new ClientConnectionLog(channel.remoteAddress());
-        waitingForClientSinceUs = clock.nowUs();
-        reader =
-                new ClientRequestReader(this, channel, parser, clock, server.decodingBudget(), waitingForClientSinceUs);
+        timeouts = new ClientTimeouts(clock);
+        reader = new ClientRequestReader(this, channel, parser, clock, server.decodingBudget());
         memory = server.newMemory(reader, pipeline);
+        presence = new ClientPresence(channel, reader.readAhead());
     }
 
     /**
@@ -93,7 +88,7 @@
             // Requests are served only after the event loop has read all connections. Otherwise, the proxy would
             // serve clients that have already disconnected. Each of these requests would take upstream capacity,
             // and an overloaded proxy would not recover.
-            scheduleServing();
+            server.servingBudget().execute(this::serveNext);
             return;
         }
         if (pipeline.isOverLimit()) {
@@ -101,14 +96,6 @@
         }
     }
 
-    private void scheduleServing() {
-        if (server.servingBudget().isExhausted()) {
-            server.servingBudget().defer(this::serveNext);
-        } else {
-            channel.eventLoop().execute(this::serveNext);
-        }
-    }
-
     private void serveNext() {
         if (phase != ClientConnectionPhase.IDLE || !channel.isActive()) {
             return;
@@ -188,7 +175,7 @@
      */
     public void respond(HttpResponseStatus status, byte[] content, long retryAfterUs) {
         openRequest = null;
-        waitingForClientSinceUs = clock.nowUs();
+        timeouts.restart();
         onInputMemoryChanged();
         memory.reserveResponse(content.length);
         FullHttpResponse response = ClientResponses.finalResponse(status, content, retryAfterUs);
@@ -212,7 +199,7 @@
     private void onResponseWritten(boolean isSuccess) {
         memory.releaseResponse();
         phase = phase.onResponseWritten();
-        waitingForClientSinceUs = clock.nowUs();
+        timeouts.restart();
         if (pipeline.isEmpty()) {
             server.onResponseWritten(this);
         }
@@ -224,14 +211,14 @@
         }
         reader.rejectIfTimedOut();
         if (!pipeline.isEmpty()) {
-            scheduleServing();
+            server.servingBudget().execute(this::serveNext);
         }
     }
 
     /** Rejects an overdue partial request. Closes the connection if the client has exceeded another timeout. */
     void closeIfTimedOut() {
         reader.rejectIfTimedOut();
-        CloseReason exceeded = openRequest == null ? ClientTimeouts.exceeded(phase, reader, this) : null;
+        CloseReason exceeded = openRequest == null ? timeouts.exceeded(phase, reader, this) : null;
         if (exceeded == CloseReason.KEEP_ALIVE_TIMEOUT) {
             closeGracefully(exceeded);
         } else if (exceeded != null) {
@@ -239,11 +226,6 @@
         }
     }
 
-    /** Returns whether the proxy has waited longer than this for the client to send a request or receive a response. */
-    boolean hasWaitedForClientLongerThan(long durationMs) {
-        return waitingForClientUs() > TimeUnit.MILLISECONDS.toMicros(durationMs);
-    }
-
     /** Called after the reader has read or rejected bytes, which changes how much memory they take up. */
     void onInputMemoryChanged() {
         memory.update(channel.isActive(), openRequest);
@@ -253,17 +235,8 @@
         return memory;
     }
 
-    /** Returns how long the proxy has waited for the client to send a request or to receive a response. */
-    long waitingForClientUs() {
-        return clock.nowUs() - waitingForClientSinceUs;
-    }
-
-    /**
-     * Returns whether the client is certainly connected. To detect a disconnect, the proxy reads what the client has sent;
-     * it returns false if that exceeds the limit, because the end of the stream may be behind it.
-     */
-    public boolean isConfirmedConnected() {
-        return channel.isActive() && reader.readAhead().confirmConnected();
+    ClientTimeouts timeouts() {
+        return timeouts;
     }
 
     /** Returns whether no bytes of a further request have arrived since the last complete request. */
@@ -295,46 +268,22 @@
         channel.close();
     }
 
-    /** Returns the address and port of the client, which name the connection in the log. */
-    public SocketAddress clientAddress() {
-        return log.clientAddress();
-    }
-
     /** Returns whether the client is connected, in an object that does not keep this connection in memory. */
     public ClientPresence presence() {
         return presence;
     }
 
-    /**
-     * Ends the open request at once if the client has disconnected, before the event that reports the disconnect.
-     *
-     * @return false if the client is connected or may still be
-     */
-    public boolean endIfDisconnected() {
-        if (isConfirmedConnected() || channel.isActive()) {
-            return false;
-        }
-        endOpenRequest();
-        return true;
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         log.closed(CloseReason.CLIENT_DISCONNECTED.toString(), openRequest);
         phase = phase.withoutFurtherRequests();
         reader.close();
         pipeline.clear();
-        endOpenRequest();
         presence.onClosed();
         onInputMemoryChanged();
         server.onClosed(this);
-    }
-
-    private void endOpenRequest() {
-        ClientRequest ended = openRequest;
-        openRequest = null;
-        if (ended != null) {
-            handler.onClientDisconnected(ended);
+        if (openRequest != null) {
+            handler.onClientDisconnected(this, openRequest);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnectionLog.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnectionLog.java
@@ -16,11 +16,6 @@
         this.clientAddress = clientAddress;
     }
 
-    /** Returns the address and port of the client, which name the connection. */
-    SocketAddress clientAddress() {
-        return clientAddress;
-    }
-
     /** Logs that the proxy responds by itself, without a decision of the decision module. */
     void refused(HttpResponseStatus status, String reason) {
         EventLog.requestEvent(() -> LogEvent.named("request_refused")
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
@@ -118,7 +118,8 @@
     boolean closeSlowestReader() {
         Optional<ClientConnection> slowest = busy.stream()
                 .filter(connection -> connection.memory().hasUnwrittenResponse())
-                .max(Comparator.comparingLong(ClientConnection::waitingForClientUs));
+                .max(Comparator.comparingLong(
+                        connection -> connection.timeouts().waitingUs()));
         slowest.ifPresent(connection -> {
             connection.memory().releaseResponse();
             connection.close(CloseReason.OUT_OF_MEMORY_BUDGET);
@@ -127,7 +128,7 @@
     }
 
     private static boolean isGracePeriodOver(ClientConnection connection) {
-        return connection.hasWaitedForClientLongerThan(ConnectionLimits.NEW_CONNECTION_GRACE_MS);
+        return connection.timeouts().hasWaitedLongerThan(ConnectionLimits.NEW_CONNECTION_GRACE_MS);
     }
 
     /** Evicts the oldest unused connection if its first request has stalled and its grace period is over. */
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestHandler.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestHandler.java
@@ -15,5 +15,5 @@
     boolean isReady();
 
     /** Notifies the handler that the client of an accepted request has disconnected before the response. */
-    void onClientDisconnected(ClientRequest request);
+    void onClientDisconnected(ClientConnection client, ClientRequest request);
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
@@ -52,13 +52,12 @@
             ClientChannel channel,
             ClientRequestParser parser,
             Clock clock,
-            IterationBudget budget,
-            long connectedAtUs) {
+            IterationBudget budget) {
         this.connection = connection;
         this.channel = channel;
         this.parser = parser;
         this.clock = clock;
-        this.connectedAtUs = connectedAtUs;
+        connectedAtUs = clock.nowUs();
         decoder = new ClientRequestDecoder(budget, () -> budget.defer(this::continueDecoding));
         readAhead = new ReadAhead(channel, decoder);
     }
--- a/src/main/java/loadbalancer/proxy/downstream/IterationBudget.java
+++ b/src/main/java/loadbalancer/proxy/downstream/IterationBudget.java
@@ -45,6 +45,15 @@
         }
     }
 
+    /** Has the work done after the current task, or in a later iteration if the budget is exhausted. */
+    void execute(Runnable work) {
+        if (isExhausted()) {
+            defer(work);
+        } else {
+            loop.execute(work);
+        }
+    }
+
     /** Has the work done in a later iteration, behind all work that was deferred before. */
     void defer(Runnable work) {
         deferred.add(work);
--- a/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/ProxyNode.java
@@ -117,8 +117,8 @@
                     }
 
                     @Override
-                    public void onClientDisconnected(ClientRequest request) {
-                        router.onClientDisconnected(request);
+                    public void onClientDisconnected(ClientConnection client, ClientRequest request) {
+                        router.onClientDisconnected(client, request);
                     }
                 });
         discovery = new DiscoveryClient(
--- a/src/main/java/loadbalancer/proxy/routing/Attempt.java
+++ b/src/main/java/loadbalancer/proxy/routing/Attempt.java
@@ -121,7 +121,9 @@
      */
     @Override
     public boolean isActive() {
-        return !request.isEnded && clock.nowUs() < deadlineUs && request.client.isConfirmedConnected();
+        return !request.isEnded
+                && clock.nowUs() < deadlineUs
+                && request.client.presence().isConnected();
     }
 
     @Override
--- a/src/main/java/loadbalancer/proxy/routing/RequestRouter.java
+++ b/src/main/java/loadbalancer/proxy/routing/RequestRouter.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -16,6 +15,7 @@
 import loadbalancer.policy.retry.ExecutedTransactions;
 import loadbalancer.proxy.downstream.BadRequestException;
 import loadbalancer.proxy.downstream.ClientConnection;
+import loadbalancer.proxy.downstream.ClientPresence;
 import loadbalancer.proxy.downstream.ClientRequest;
 import loadbalancer.proxy.logging.EventLog;
 import loadbalancer.proxy.logging.LogEvent;
@@ -89,7 +89,7 @@
      * @throws BadRequestException if its id is that of a request that is open or must not be executed again
      */
     public void accept(ClientConnection client, ClientRequest request, long arrivedAtUs) throws BadRequestException {
-        requireForwardable(request.transactionId());
+        requireForwardable(client, request.transactionId());
         // The deadline counts from the arrival of the request, not from the responses to earlier requests on the same
         // connection.
         long deadlineUs = Math.min(arrivedAtUs + request.remainingUs(), responseDeadlineUs);
@@ -111,13 +111,17 @@
     }
 
     /** Checks that no request with this id is open, and that none may have been executed that must not be repeated. */
-    private void requireForwardable(String transactionId) throws BadRequestException {
+    private void requireForwardable(ClientConnection client, String transactionId) throws BadRequestException {
         InFlightRequest open = openRequests.get(transactionId);
-        if (open != null && !open.client.endIfDisconnected()) {
+        if (open != null && !open.client.presence().hasDisconnected()) {
             throw new BadRequestException(
                     HttpProtocol.TRANSACTION_ID_HEADER, transactionId, "is that of an open request");
         }
-        if (!executedTransactions.mayForward(transactionId, clock.nowUs())) {
+        if (open != null) {
+            // The event that reports the disconnect is still to come.
+            onClientDisconnected(open.client, open.request);
+        }
+        if (!executedTransactions.mayForward(transactionId, client.presence(), clock.nowUs())) {
             throw new BadRequestException(
                     HttpProtocol.TRANSACTION_ID_HEADER,
                     transactionId,
@@ -125,19 +129,27 @@
         }
     }
 
-    /** Has the id of a request that may have been executed refused from now on, unless its client has the response. */
-    private void rememberExecution(InFlightRequest request, BooleanSupplier hasResponse) {
+    /**
+     * Has the id of a request that may have been executed refused from now on.
+     *
+     * @param respondedTo the client that gets the response, or null if it has left
+     */
+    private void rememberExecution(InFlightRequest request, ClientPresence respondedTo) {
         if (request.mayHaveBeenExecuted) {
             executedTransactions.record(
-                    request.request.transactionId(), request.request.classIndex(), hasResponse, clock.nowUs());
+                    request.request.transactionId(), request.request.classIndex(), respondedTo, clock.nowUs());
         }
     }
 
     /** Ends a request whose client has disconnected before the response. */
-    public void onClientDisconnected(ClientRequest request) {
+    public void onClientDisconnected(ClientConnection client, ClientRequest request) {
         InFlightRequest disconnected = openRequests.get(request.transactionId());
+        if (disconnected == null || !disconnected.client.equals(client)) {
+            // It has ended already, and its id may have come again.
+            return;
+        }
         endRequest(disconnected);
-        rememberExecution(disconnected, () -> false);
+        rememberExecution(disconnected, null);
         events.add(disconnected, () -> {
             loadBalancer.onClientDisconnected(clock.nowUs(), disconnected.id);
             removeIfCompleted(disconnected);
@@ -230,13 +242,13 @@
         }
         EventLog.requestEvent(() -> LogEvent.named("response")
                 .with("request", request.request.transactionId())
-                .with("client", request.client.clientAddress())
+                .with("client", request.client.presence().address())
                 .with("status", status.code())
                 .with("attempts", request.attempts.size())
                 .with("remaining_us", request.deadlineUs - clock.nowUs())
                 .with("retry_after_us", retryAfterUs));
         endRequest(request);
-        rememberExecution(request, request.client.presence()::isConfirmed);
+        rememberExecution(request, request.client.presence());
         request.client.respond(status, body, retryAfterUs);
         removeIfCompleted(request);
     }
@@ -252,7 +264,7 @@
         request.attempts.add(attempt);
         EventLog.requestEvent(() -> LogEvent.named("attempt_started")
                 .with("request", request.request.transactionId())
-                .with("client", request.client.clientAddress())
+                .with("client", request.client.presence().address())
                 .with("attempt", attempt.number())
                 .with("endpoint", endpointId)
                 .with("remaining_us", attemptDeadlineUs - attempt.startedAtUs()));
--- a/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
+++ b/src/test/java/loadbalancer/policy/retry/ExecutedTransactionsTest.java
@@ -11,10 +11,12 @@
 import loadbalancer.policy.LoadBalancerSettings;
 import loadbalancer.policy.RequestClass;
 
+/** Which ids are refused, and for how long they are remembered. */
 class ExecutedTransactionsTest {
     private static final long DEADLINE_US = 3_000_000;
     private static final int IDEMPOTENT = 0;
     private static final int NON_IDEMPOTENT = 1;
+    private static final ExecutedTransactions.Client OTHER_CLIENT = () -> true;
 
     private final ExecutedTransactions transactions = new ExecutedTransactions(settings());
 
@@ -32,39 +34,41 @@
 
     @Test
     void idIsRememberedForTwoDeadlines() {
-        transactions.record("a", NON_IDEMPOTENT, () -> false, 5);
-        assertFalse(transactions.mayForward("a", 5));
-        assertFalse(transactions.mayForward("a", 4 + 2 * DEADLINE_US));
-        assertTrue(transactions.mayForward("a", 5 + 2 * DEADLINE_US));
-        assertTrue(transactions.mayForward("b", 5));
+        transactions.record("a", NON_IDEMPOTENT, null, 5);
+        assertFalse(transactions.mayForward("a", OTHER_CLIENT, 5));
+        assertFalse(transactions.mayForward("a", OTHER_CLIENT, 4 + 2 * DEADLINE_US));
+        assertTrue(transactions.mayForward("a", OTHER_CLIENT, 5 + 2 * DEADLINE_US));
+        assertTrue(transactions.mayForward("b", OTHER_CLIENT, 5));
     }
 
     @Test
-    void idMayComeAgainWhileItsClientHasTheResponse() {
-        boolean[] hasResponse = {true};
-        transactions.record("a", NON_IDEMPOTENT, () -> hasResponse[0], 0);
-        assertTrue(transactions.mayForward("a", 1));
-        hasResponse[0] = false;
-        assertFalse(transactions.mayForward("a", 2));
+    void idMayComeAgainFromAnotherClientWhileTheFirstIsConnected() {
+        boolean[] isConnected = {true};
+        ExecutedTransactions.Client first = () -> isConnected[0];
+        transactions.record("a", NON_IDEMPOTENT, first, 0);
+        assertTrue(transactions.mayForward("a", OTHER_CLIENT, 1));
+        assertFalse(transactions.mayForward("a", first, 1));
+        isConnected[0] = false;
+        assertFalse(transactions.mayForward("a", OTHER_CLIENT, 2));
     }
 
     @Test
     void idempotentRequestMayComeAgain() {
-        transactions.record("a", IDEMPOTENT, () -> false, 5);
-        assertTrue(transactions.mayForward("a", 6));
+        transactions.record("a", IDEMPOTENT, null, 5);
+        assertTrue(transactions.mayForward("a", OTHER_CLIENT, 6));
     }
 
     @Test
     void laterExecutionExtendsTheTime() {
-        transactions.record("a", NON_IDEMPOTENT, () -> false, 0);
-        transactions.record("a", NON_IDEMPOTENT, () -> false, DEADLINE_US);
-        assertFalse(transactions.mayForward("a", 3 * DEADLINE_US - 1));
+        transactions.record("a", NON_IDEMPOTENT, null, 0);
+        transactions.record("a", NON_IDEMPOTENT, null, DEADLINE_US);
+        assertFalse(transactions.mayForward("a", OTHER_CLIENT, 3 * DEADLINE_US - 1));
     }
 
     @Test
     void expiredIdsAreForgotten() {
-        transactions.record("a", NON_IDEMPOTENT, () -> false, 0);
-        transactions.record("b", NON_IDEMPOTENT, () -> false, 1);
+        transactions.record("a", NON_IDEMPOTENT, null, 0);
+        transactions.record("b", NON_IDEMPOTENT, null, 1);
         transactions.forgetOldest(2 * DEADLINE_US);
         assertEquals(1, transactions.size());
     }
@@ -73,9 +77,9 @@
     @Test
     void oldestIdsAreForgottenBeyondTheLimit() {
         for (int i = 0; i < 100_000; i++) {
-            transactions.record("id" + i, NON_IDEMPOTENT, () -> false, i);
+            transactions.record("id" + i, NON_IDEMPOTENT, null, i);
         }
-        assertTrue(transactions.mayForward("id0", 100_000));
-        assertFalse(transactions.mayForward("id99999", 100_000));
+        assertTrue(transactions.mayForward("id0", OTHER_CLIENT, 100_000));
+        assertFalse(transactions.mayForward("id99999", OTHER_CLIENT, 100_000));
     }
 }
--- a/src/test/java/loadbalancer/proxy/downstream/IterationBudgetTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/IterationBudgetTest.java
@@ -11,6 +11,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** The order of deferred work, and when the budget is renewed. */
 class IterationBudgetTest {
     private static final int MAX_COST = 10;
 
--- a/src/test/java/loadbalancer/proxy/downstream/RequestPipelineTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/RequestPipelineTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** The order of waiting requests, and the memory of rejections. */
 class RequestPipelineTest {
     private final RequestPipeline pipeline = new RequestPipeline();
 
