--- a/src/test/java/loadbalancer/proxy/lifecycle/DelayedSendTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/DelayedSendTest.java
@@ -13,6 +13,7 @@
 
 import loadbalancer.policy.RequestClass;
 import loadbalancer.proxy.downstream.HangingListener;
+import loadbalancer.proxy.resources.ConnectionLimits;
 import loadbalancer.proxy.upstream.StallingChannel;
 import loadbalancer.proxy.upstream.UpstreamChannel;
 import loadbalancer.testsupport.HttpMessages;
@@ -131,6 +132,28 @@
         }
     }
 
+    /** The end of the stream is behind the requests that wait on the connection. */
+    @Test
+    void requestThatAwaitsAConnectionIsNotSentAfterItsClientHasDisconnected() throws Exception {
+        try (HangingListener hanging = new HangingListener();
+                ProxyFixture fixture = newFixture()) {
+            fixture.startWithCachedList(ProxyFixture.list(1, true, "s0=" + hanging.endpoint() + "=Ready"));
+            Socket client = fixture.connect();
+            for (int i = 0; i < 2 * ConnectionLimits.MAX_PIPELINED_REQUESTS; i++) {
+                ProxyFixture.write(client, HttpMessages.page("t" + i));
+            }
+            fixture.awaitCounts(counts -> counts.exchanges() == 1);
+            fixture.awaitPriorInputRead();
+            client.close();
+            hanging.freeBacklog();
+            try (Socket connection = hanging.accept()) {
+                fixture.awaitCounts(counts -> counts.requests() == 0);
+                fixture.loop.submit(fixture.node::close).get();
+                assertEquals(-1, connection.getInputStream().read());
+            }
+        }
+    }
+
     /** The endpoints that know the key are those of the cell in which the first attempt may have been executed. */
     @Test
     void retryThatAwaitsAConnectionIsNotSentToAnEndpointThatHasMovedToAnotherCell() throws Exception {
