Do not take a closing connection for a connected client

What callers would see: the id of an answered order ran again from another connection, although its client had left, for up to a second.

Cause: after the last response of a connection further bytes are left unread, and the end of the stream may be behind them; ClientChannel.drain answered that the client was there.

Change: a connection whose bytes are left unread is not known to be connected.

Measured: ReturningTransactionIdTest, an order with Connection: close and a byte behind its response: 200 and a second execution before, 400 now. 160 tests of downstream and of returning ids are green.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
@@ -37,7 +37,8 @@
      */
     boolean drain(int maxBytes) {
         if (detectsCloseOnly) {
-            return isActive();
+            // The end of the stream may be behind the bytes that are left unread.
+            return false;
         }
         isDrained = false;
         bytesLeftToDrain = maxBytes;
--- a/src/test/java/loadbalancer/faultinjection/ReturningTransactionIdTest.java
+++ b/src/test/java/loadbalancer/faultinjection/ReturningTransactionIdTest.java
@@ -56,6 +56,22 @@
         assertEquals(1, node.arrivals(id).size(), "executions");
     }
 
+    /** After the last response of a connection, the end of the stream may be behind bytes that are left unread. */
+    @Test
+    void returningIdIsNotExecutedAgainWhileTheConnectionOfItsClientCloses() throws Exception {
+        String id = HoldingUpstream.SERVED_PREFIX + "order";
+        String order = HttpMessages.order(id, HoldingNode.REMAINING);
+        try (Socket client = node.connect()) {
+            String last = order.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+            client.getOutputStream().write(last.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(OK, HttpMessages.read(client.getInputStream()).status());
+            client.getOutputStream().write('x');
+        }
+        Thread.sleep(CONNECTED_MS);
+        assertEquals(BAD_REQUEST, node.ask(order));
+        assertEquals(1, node.arrivals(id).size(), "executions");
+    }
+
     /** The id of a request that may have been executed comes again, while an endpoint has it and after it has responded. */
     @Test
     void returningIdOfANonIdempotentRequestIsNotExecutedTwice() throws Exception {
