Read the client's address once, and keep the decoder's bypass of the input filter private

ClientConnectionLog gets the address from ClientPresence. ClientRequestDecoder's decodeBuffered was visible beside ReadAhead's, which goes through the input filter; the two were mixed up once. No change of behaviour.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -48,11 +48,11 @@
         this.server = server;
         this.handler = handler;
         this.channel = channel;
-        log = new ClientConnectionLog(channel.remoteAddress());
         timeouts = new ClientTimeouts(clock);
         reader = new ClientRequestReader(this, channel, parser, clock, server.decodingBudget());
         memory = server.newMemory(reader, pipeline);
         presence = new ClientPresence(channel, reader.readAhead());
+        log = new ClientConnectionLog(presence.address());
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestDecoder.java
@@ -96,7 +96,7 @@
         return isYielding;
     }
 
-    /** Allows decoding to go on with the next read, or with {@link #decodeBuffered}. */
+    /** Allows decoding to go on with the next read. */
     void endYield() {
         isYielding = false;
     }
@@ -118,7 +118,7 @@
     }
 
     /** Decodes the bytes that are buffered, although no bytes have been read. */
-    void decodeBuffered() {
+    private void decodeBuffered() {
         try {
             channelRead(context, Unpooled.EMPTY_BUFFER);
         } catch (Exception e) {
