Decode only the responses that an exchange expects, and never reuse a connection with more

Cause: whether a connection may carry the next request was decided by what was unread in its socket. Half a status line of a second response had been read; it stayed in the buffer of the response decoder, and the status line of the next response was appended to it: "HTTP/1.1 200 HTTP/1.1 503 Service Unavailable". UpstreamConnection.makeAvailable and UpstreamConnectionPool.start asked UpstreamChannel.hasNoUnreadInput only.

Change: UpstreamResponseDecoder decodes one final response for each exchange, with the informational ones before it. All other input is discarded undecoded, and closes the connection. UpstreamConnection.isEmpty asks decoder and socket. A new connection is not read before its owner is in its pipeline. This works whatever the surplus is, as none of it is decoded.

--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -52,6 +52,7 @@
     private final int generation;
 
     private final UpstreamChannel channel;
+    private final UpstreamResponseDecoder decoder;
     private State state = State.IDLE;
     private UpstreamExchange exchange;
     private UpstreamResponse response;
@@ -67,6 +68,7 @@
         this.upstream = upstream;
         this.generation = generation;
         this.channel = channel;
+        decoder = channel.pipeline().get(UpstreamResponseDecoder.class);
         responseMemory = pool.newResponseReservation();
     }
 
@@ -86,8 +88,13 @@
         return channel.isActive() && upstream.isReady() && generation == upstream.generation();
     }
 
-    boolean hasNoUnreadInput() {
-        return channel.hasNoUnreadInput();
+    /**
+     * Returns whether the connection is open and nothing has arrived on it since the last response, so that what arrives
+     * from now on belongs to the next exchange. Only allowed between two exchanges; if it returns false, the caller has
+     * to close the connection.
+     */
+    boolean isEmpty() {
+        return !decoder.hasSurplusInput() && channel.hasNoUnreadInput();
     }
 
     long idleSinceUs() {
@@ -101,11 +108,10 @@
      * Closes the connection if it cannot be used.
      */
     void makeAvailable() {
-        if (!isUsable() || !channel.hasNoUnreadInput()) {
+        if (!isUsable() || !isEmpty()) {
             close();
             // The exchange for which this connection was opened may still wait, for example because the endpoint's
-            // address
-            // changed during the connect.
+            // address changed during the connect.
             if (upstream.isReady()) {
                 upstream.failOneWithoutConnect();
             }
@@ -133,6 +139,7 @@
         exchange = next;
         informationalResponses = 0;
         pool.onExchangeStarted(this, next);
+        decoder.expectResponse();
         channel.startMessage(() -> next.isActive() && next.isSendPermitted());
         channel.writeAndFlush(message).addListener(done -> {
             if (!done.isSuccess() && exchange == next) {
@@ -196,9 +203,9 @@
     }
 
     private void read(HttpObject message) {
-        if (state != State.ACTIVE || message.decoderResult().isFailure()) {
-            // After unsolicited or malformed input, later responses cannot be matched to requests.
-            fail("unsolicited or malformed response");
+        if (message.decoderResult().isFailure()) {
+            // After malformed input, later responses cannot be matched to requests.
+            fail("malformed response");
             return;
         }
         if (message instanceof HttpResponse head && !onResponseHead(head)) {
@@ -276,7 +283,9 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         // The connection is reused only after all available input is read and the reuse delay is over, so that surplus
         // input after the response is not taken for the response to the next request.
-        if (state == State.RESPONSE_RECEIVED) {
+        if (state != State.CLOSED && decoder.hasSurplusInput()) {
+            fail("input that belongs to no exchange");
+        } else if (state == State.RESPONSE_RECEIVED) {
             delayReuse();
         }
     }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -68,6 +68,8 @@
                 .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReadAllocator())
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Nothing is read before the connection that owns the channel is in its pipeline.
+                .option(ChannelOption.AUTO_READ, false)
                 // Tells a shutdown of the endpoint's output from a reset: only the former may complete a body.
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
@@ -143,7 +145,7 @@
         }
         UpstreamConnection idleConnection;
         while ((idleConnection = upstream.idleConnections.peek()) != null) {
-            if (idleConnection.hasNoUnreadInput()) {
+            if (idleConnection.isEmpty()) {
                 idleConnection.send(exchange);
                 return;
             }
@@ -213,6 +215,7 @@
             UpstreamConnection connection =
                     new UpstreamConnection(this, upstream, generation, (UpstreamChannel) connected.channel());
             connected.channel().pipeline().addLast(connection);
+            connected.channel().config().setAutoRead(true);
             connection.makeAvailable();
             return;
         }
