Close no client connection while anything that has arrived on it awaits its response

Cause: whether a connection is in use was derived in four places, each from a part of its state. A request that waits for its turn, because 64 others have begun in this iteration of the event loop, is in the pipeline only; ClientTimeouts.exceeded asked the phase, the partial request and the unread bytes. The keep-alive timeout closed, and serveNext dropped the request.

Change: ClientConnection.closeIfUnused is the only way in which the node closes a connection of its own accord; it asks the phase and UnansweredInput, which knows all that has arrived. Keep-alive and first-request timeouts, shutdown and eviction go through it. Only a client that has gone or reads no response is closed at once. It works whatever delays the request, as the question no longer is why it waits.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -32,12 +32,15 @@
     private final ClientTimeouts timeouts;
     private final ClientRequestReader reader;
     private final RequestPipeline pipeline = new RequestPipeline();
+    private final UnansweredInput unanswered;
     private final ClientConnectionMemory memory;
     private final ClientPresence presence;
 
     private ClientConnectionPhase phase = ClientConnectionPhase.IDLE;
     /** The request that the handler has accepted and not yet responded to, or null. */
     private ClientRequest openRequest;
+    /** Whether the connection closes with the next response behind which nothing else awaits one. */
+    private boolean closesWhenUnused;
 
     ClientConnection(
             DownstreamServer server,
@@ -50,6 +53,7 @@
         this.channel = channel;
         timeouts = new ClientTimeouts(clock);
         reader = new ClientRequestReader(this, channel, parser, clock, server.decodingBudget());
+        unanswered = new UnansweredInput(channel, reader, pipeline);
         memory = server.newMemory(reader, pipeline);
         presence = new ClientPresence(channel, reader.readAhead());
         log = new ClientConnectionLog(presence.address());
@@ -150,11 +154,9 @@
         }
     }
 
-    /** Responds to a readiness check. While draining, the response closes the connection: no second check is needed. */
+    /** Responds to a readiness check. While draining, the connection need not stay open for a second check. */
     private void respondToReadinessCheck() {
-        if (server.isDraining()) {
-            phase = phase.withoutFurtherRequests();
-        }
+        closesWhenUnused |= server.isDraining();
         boolean isReady = handler.isReady() && !server.isDraining();
         respond(isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
     }
@@ -179,11 +181,12 @@
         onInputMemoryChanged();
         memory.reserveResponse(content.length);
         FullHttpResponse response = ClientResponses.finalResponse(status, content, retryAfterUs);
-        if (server.isClosing()) {
+        closesWhenUnused |= server.isClosing();
+        if (closesWhenUnused) {
             channel.readNow();
         }
         // Requests that have arrived before the connection closes get a response; the last response closes it.
-        if (!phase.isKeepAlive() || (server.isClosing() && pipeline.isEmpty() && !reader.hasPartialRequest())) {
+        if (!phase.isKeepAlive() || (closesWhenUnused && !unanswered.isRead())) {
             phase = phase.withoutFurtherRequests();
             // Reading stops before the response is written, because a request read meanwhile would need a response.
             reader.detectCloseOnly();
@@ -218,11 +221,13 @@
     /** Rejects an overdue partial request. Closes the connection if the client has exceeded another timeout. */
     void closeIfTimedOut() {
         reader.rejectIfTimedOut();
-        CloseReason exceeded = openRequest == null ? timeouts.exceeded(phase, reader, this) : null;
-        if (exceeded == CloseReason.KEEP_ALIVE_TIMEOUT) {
-            closeGracefully(exceeded);
-        } else if (exceeded != null) {
-            close(exceeded);
+        boolean hasReceivedRequest = reader.hasReceivedRequest();
+        if (phase.isServing()) {
+            if (openRequest == null && timeouts.isWriteTimeoutExceeded()) {
+                close(CloseReason.WRITE_TIMEOUT);
+            }
+        } else if (!reader.isClosed() && timeouts.isIdleTimeoutExceeded(hasReceivedRequest)) {
+            closeIfUnused(hasReceivedRequest ? CloseReason.KEEP_ALIVE_TIMEOUT : CloseReason.READ_TIMEOUT);
         }
     }
 
@@ -239,14 +244,26 @@
         return timeouts;
     }
 
-    /** Returns whether no bytes of a further request have arrived since the last complete request. */
-    boolean hasNoPendingInput() {
-        return !reader.hasPartialRequest() && channel.hasNoUnreadBytes();
+    /** Returns whether a request has arrived in part, and only further input of the client can complete it. */
+    boolean hasStalledRequest() {
+        return unanswered.isStalled();
     }
 
-    /** Returns whether a request has arrived in part and there are no unread bytes that could complete it. */
-    boolean hasStalledRequest() {
-        return reader.hasPartialRequest() && channel.hasNoUnreadBytes();
+    /**
+     * Closes the connection unless anything that has arrived still awaits its response.
+     *
+     * @return whether the connection is closed
+     */
+    boolean closeIfUnused(CloseReason reason) {
+        if (phase.isServing() || unanswered.hasArrived()) {
+            return false;
+        }
+        if (reason == CloseReason.KEEP_ALIVE_TIMEOUT || reason == CloseReason.GRACEFUL_SHUTDOWN) {
+            closeGracefully(reason);
+        } else {
+            close(reason);
+        }
+        return true;
     }
 
     /**
@@ -254,7 +271,7 @@
      * further bytes from the client would reset the connection, and a response in transit would be lost. Further bytes
      * are left unread, so that the client knows that they had no effect. After an invalid request, they are discarded.
      */
-    void closeGracefully(CloseReason reason) {
+    private void closeGracefully(CloseReason reason) {
         log.closed(reason.toString(), openRequest);
         phase = phase.withoutFurtherRequests();
         reader.detectCloseOnly();
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnectionRegistry.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -61,14 +60,6 @@
         return all;
     }
 
-    /** Returns a copy of the connections that serve no request and have not received a part of one. */
-    List<ClientConnection> withoutRequest() {
-        List<ClientConnection> connections = all();
-        connections.removeAll(busy);
-        connections.removeIf(connection -> !connection.hasNoPendingInput());
-        return connections;
-    }
-
     int size() {
         return unused.size() + busy.size() + idle.size();
     }
@@ -143,18 +134,15 @@
     }
 
     /**
-     * Evicts the first connection without pending input. Unread bytes may be a request that an overloaded proxy has not
-     * read yet. The connection is removed immediately, because the event that reports its close arrives later.
+     * Evicts the first connection that is unused. It is removed immediately, because the event that reports its close
+     * arrives later.
      *
      * @return false if there is no such connection
      */
     private static boolean evictFirst(Set<ClientConnection> connections) {
-        Iterator<ClientConnection> iterator = connections.iterator();
-        while (iterator.hasNext()) {
-            ClientConnection connection = iterator.next();
-            if (connection.hasNoPendingInput()) {
-                iterator.remove();
-                connection.close(CloseReason.EVICTED);
+        for (ClientConnection connection : connections) {
+            if (connection.closeIfUnused(CloseReason.EVICTED)) {
+                connections.remove(connection);
                 return true;
             }
         }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestReader.java
@@ -276,8 +276,13 @@
         return hasReceivedRequest;
     }
 
-    /** Returns whether a request has arrived in part. */
+    /** Returns whether a request has arrived in part. The rest of it may have been read and wait to be decoded. */
     boolean hasPartialRequest() {
         return phase.hasPartialRequest();
     }
+
+    /** Returns whether a request has arrived in part, and all that has been read of it is decoded. */
+    boolean awaitsInput() {
+        return phase.hasPartialRequest() && !decoder.isPaused() && !decoder.isYielding();
+    }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ClientTimeouts.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientTimeouts.java
@@ -30,20 +30,14 @@
         return waitingUs() > TimeUnit.MILLISECONDS.toMicros(durationMs);
     }
 
-    /** Returns the timeout that the client has exceeded while no request awaits its response, or null if there is none. */
-    CloseReason exceeded(ClientConnectionPhase phase, ClientRequestReader reader, ClientConnection connection) {
-        if (phase.isServing()) {
-            return reasonAfter(ConnectionLimits.WRITE_TIMEOUT_MS, CloseReason.WRITE_TIMEOUT);
-        }
-        if (reader.isClosed() || !connection.hasNoPendingInput()) {
-            return null;
-        }
-        return reader.hasReceivedRequest()
-                ? reasonAfter(ConnectionLimits.KEEP_ALIVE_TIMEOUT_MS, CloseReason.KEEP_ALIVE_TIMEOUT)
-                : reasonAfter(ConnectionLimits.READ_TIMEOUT_MS, CloseReason.READ_TIMEOUT);
+    /** Returns whether the client has not received a response in time. */
+    boolean isWriteTimeoutExceeded() {
+        return hasWaitedLongerThan(ConnectionLimits.WRITE_TIMEOUT_MS);
     }
 
-    private CloseReason reasonAfter(long timeoutMs, CloseReason reason) {
-        return hasWaitedLongerThan(timeoutMs) ? reason : null;
+    /** Returns whether a connection without a request has been open for too long. */
+    boolean isIdleTimeoutExceeded(boolean hasReceivedRequest) {
+        return hasWaitedLongerThan(
+                hasReceivedRequest ? ConnectionLimits.KEEP_ALIVE_TIMEOUT_MS : ConnectionLimits.READ_TIMEOUT_MS);
     }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
+++ b/src/main/java/loadbalancer/proxy/downstream/CloseReason.java
@@ -1,6 +1,10 @@
 package loadbalancer.proxy.downstream;
 
-/** The reasons for closing a client connection, with their texts in the log. */
+/**
+ * The reasons for closing a client connection, with their texts in the log. The proxy closes a connection of its own
+ * accord only by {@link ClientConnection#closeIfUnused}; what closes it at once is a client that does not read, or that
+ * has gone.
+ */
 enum CloseReason {
     LAST_RESPONSE_WRITTEN("last response written"),
     KEEP_ALIVE_TIMEOUT("keep-alive timeout"),
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -207,7 +207,7 @@
     private void beginClosing() {
         stopListening();
         phase = phase.onServingTimeOver();
-        connections.withoutRequest().forEach(connection -> connection.closeGracefully(CloseReason.GRACEFUL_SHUTDOWN));
+        connections.all().forEach(connection -> connection.closeIfUnused(CloseReason.GRACEFUL_SHUTDOWN));
         notifyIfClosed();
     }
 
--- a/src/test/java/loadbalancer/proxy/downstream/BacklogTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/BacklogTest.java
@@ -58,7 +58,7 @@
     }
 
     /** Wraps a decision module to run an action on the event loop before the module receives each request. */
-    private static LoadBalancer withActionBeforeRequests(LoadBalancer delegate, Callable<?> action) {
+    static LoadBalancer withActionBeforeRequests(LoadBalancer delegate, Callable<?> action) {
         return (LoadBalancer) Proxy.newProxyInstance(
                 LoadBalancer.class.getClassLoader(), new Class<?>[] {LoadBalancer.class}, (instance, method, args) -> {
                     if (method.getName().equals("onRequest")) {
