Do not back off from discovery because it refuses connections

What callers saw: since a lease no longer lasts through an outage that refuses calls, how soon it is back decides how long requests are rejected after the outage, and that was up to four retry delays: a node of a fleet of 30 had no lease 6 s after discovery was back.

Cause: DiscoveryCallScheduler doubled the delay twice after five failures in a row, whatever they were. The doubling protects a discovery that is overloaded; a refused connection shows none, and costs it nothing.

Change: refused calls do not count as failures that double the delay. Rejected, reset and malformed ones still do.

DiscoveryOutageTest passes with a fleet of 30, which was red before.

--- a/src/main/java/loadbalancer/policy/discovery/DiscoveryCallScheduler.java
+++ b/src/main/java/loadbalancer/policy/discovery/DiscoveryCallScheduler.java
@@ -149,7 +149,7 @@
                 scheduleCallWithin(nowUs, Math.max(maxInitialDelayUs(nowUs), timing.minDelayBoundAfterWatchUs()));
             }
         } else if (pendingCalls.remove(call) && pendingCalls.isEmpty()) {
-            failuresSinceConfirmation++;
+            countFailure(outcome);
             scheduleCallWithin(nowUs, timing.maxRetryDelayUs() << delayDoublings());
         }
     }
@@ -165,6 +165,13 @@
         }
     }
 
+    /** Repeated failures double the delay, because discovery may be overloaded. A call that it refuses costs it nothing. */
+    private void countFailure(DiscoveryCallOutcome outcome) {
+        if (outcome != DiscoveryCallOutcome.CONNECTION_REFUSED) {
+            failuresSinceConfirmation++;
+        }
+    }
+
     private int delayDoublings() {
         return Math.max(0, Math.min(MAX_DELAY_DOUBLINGS, failuresSinceConfirmation - FAILURES_BEFORE_DOUBLING));
     }
--- a/src/test/java/loadbalancer/faultinjection/DiscoveryOutageTest.java
+++ b/src/test/java/loadbalancer/faultinjection/DiscoveryOutageTest.java
@@ -49,7 +49,7 @@
 
     /** A watch falls silent, an endpoint begins to drain, and discovery goes down. */
     @ParameterizedTest
-    @CsvSource({"1, 0, 0", "5, 300, 1200", "5, 0, 2000"})
+    @CsvSource({"1, 0, 0", "5, 300, 1200", "5, 0, 2000", "30, 0, 500"})
     @Timeout(60)
     void refusedCallsDoNotRenewTheLease(
             int fleetSize, long drainAfterSilenceMs, long downAfterDrainMs, @TempDir Path folder) throws Exception {
--- a/src/test/java/loadbalancer/policy/discovery/DiscoveryCallLifecycleTest.java
+++ b/src/test/java/loadbalancer/policy/discovery/DiscoveryCallLifecycleTest.java
@@ -94,6 +94,22 @@
                 scheduler.nextTimerUs() - nowUs <= SchedulerFixture.timing(100).maxInitialDelayUs());
     }
 
+    /** A refused connection does not show that discovery is overloaded. */
+    @Test
+    void retryDelayIsNotDoubledAfterRefusedConnections() {
+        DiscoveryCallScheduler scheduler = SchedulerFixture.newRecordingScheduler(100, new ArrayList<>());
+        scheduler.start(0);
+        for (int number = 1; number <= 20; number++) {
+            long openedAtUs = scheduler.nextTimerUs();
+            scheduler.onTimer(openedAtUs);
+            scheduler.onCallEnded(openedAtUs, call(number), DiscoveryCallOutcome.CONNECTION_REFUSED);
+            assertEquals(
+                    SchedulerFixture.timing(100).maxRetryDelayUs(),
+                    scheduler.nextTimerUs() - openedAtUs,
+                    "the delay after call " + number);
+        }
+    }
+
     /** No failure of a call proves that the endpoint list is current, whether the lease is valid or not. */
     @ParameterizedTest
     @EnumSource(DiscoveryCallOutcome.class)
--- a/src/test/java/loadbalancer/policy/discovery/OutageCostTest.java
+++ b/src/test/java/loadbalancer/policy/discovery/OutageCostTest.java
@@ -15,7 +15,7 @@
 
 /**
  * Measures, in virtual time, how long instances are without a lease where discovery goes down and refuses calls, and how
- * soon they have one again.
+ * soon they have one again: nine in ten within a retry delay and the time in which discovery can serve all instances.
  */
 @Timeout(240)
 class OutageCostTest {
@@ -27,6 +27,10 @@
 
     private static final long HEARTBEAT_INTERVAL_US = 2_000_000;
     private static final double US_PER_S = 1e6;
+    /** The time until a call is refused. */
+    private static final double REFUSAL_S = 0.001;
+
+    private static final double MOST = 0.9;
 
     private static double seconds(List<Long> sortedUs, double share) {
         return sortedUs.get((int) Math.ceil(share * sortedUs.size()) - 1) / US_PER_S;
@@ -60,9 +64,14 @@
                 outageS,
                 callsPerSecond,
                 seconds(withoutLeaseUs, 0.5),
-                seconds(withoutLeaseUs, 0.9),
+                seconds(withoutLeaseUs, MOST),
                 seconds(leasedAfterUs, 0.5),
-                seconds(leasedAfterUs, 0.9));
+                seconds(leasedAfterUs, MOST));
+        double retryDelayS = SchedulerFixture.timing(instances).maxRetryDelayUs() / US_PER_S;
+        double maxBackAfterS = retryDelayS + instances / callsPerSecond + REFUSAL_S;
+        assertTrue(
+                seconds(leasedAfterUs, MOST) <= maxBackAfterS,
+                "nine in ten instances are not back after " + maxBackAfterS + " s");
         double shortestS = outageS - LONGEST_LEASE_US / US_PER_S;
         assertTrue(withoutLeaseUs.get(0) / US_PER_S >= shortestS, "a lease has outlived what it proves");
         double longestS = outageS - LONGEST_LEASE_US / US_PER_S + HEARTBEAT_INTERVAL_US / US_PER_S;
