Assemble responses of endpoints in a class of their own

Behaviour is the same: the tests of proxy.upstream and proxy.lifecycle and SurplusInputTest are green, with no test changed.

--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -7,19 +7,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 import loadbalancer.policy.AttemptResult;
 import loadbalancer.proxy.logging.EventLog;
 import loadbalancer.proxy.logging.LogEvent;
-import loadbalancer.proxy.protocol.MessageFraming;
-import loadbalancer.proxy.resources.ConnectionLimits;
-import loadbalancer.proxy.resources.MemoryBudget;
 
 /**
  * A connection to an endpoint. It carries one exchange at a time.
@@ -53,12 +47,9 @@
 
     private final UpstreamChannel channel;
     private final UpstreamResponseDecoder decoder;
+    private final UpstreamResponseAssembler assembler;
     private State state = State.IDLE;
     private UpstreamExchange exchange;
-    private UpstreamResponse response;
-    private final MemoryBudget.Reservation responseMemory;
-    /** The number of informational responses since the exchange started. */
-    private int informationalResponses;
 
     private long idleSinceUs;
 
@@ -69,7 +60,7 @@
         this.generation = generation;
         this.channel = channel;
         decoder = channel.pipeline().get(UpstreamResponseDecoder.class);
-        responseMemory = pool.newResponseReservation();
+        assembler = new UpstreamResponseAssembler(pool.newResponseReservation());
     }
 
     private void transitionTo(State next, State... from) {
@@ -137,7 +128,7 @@
         upstream.idleConnections.remove(this);
         transitionTo(State.ACTIVE, State.IDLE);
         exchange = next;
-        informationalResponses = 0;
+        assembler.start();
         pool.onExchangeStarted(this, next);
         decoder.expectResponse();
         channel.startMessage(() -> next.isActive() && next.isSendPermitted());
@@ -183,7 +174,7 @@
 
     void close() {
         transitionTo(State.CLOSED, State.values());
-        discardResponse();
+        assembler.discard();
         upstream.idleConnections.remove(this);
         upstream.reuseDelayedConnections.remove(this);
         channel.close();
@@ -203,76 +194,30 @@
     }
 
     private void read(HttpObject message) {
-        if (message.decoderResult().isFailure()) {
-            // After malformed input, later responses cannot be matched to requests.
-            fail("malformed response");
-            return;
-        }
-        if (message instanceof HttpResponse head && !onResponseHead(head)) {
-            return;
-        }
-        if (message instanceof HttpContent content && response != null) {
-            boolean isAppended = append(content);
-            if (isAppended && message instanceof LastHttpContent) {
-                onResponseComplete();
-            }
-        }
-    }
-
-    /** Handles the head of a response. Returns false if the connection is closed and the rest is ignored. */
-    private boolean onResponseHead(HttpResponse head) {
-        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            informationalResponses++;
-            boolean isAllowed = informationalResponses <= ConnectionLimits.MAX_INFORMATIONAL_RESPONSES;
-            if (!isAllowed) {
-                fail("too many informational responses");
-            }
-            return isAllowed;
-        }
-        if (!channel.isFullyWritten()) {
+        if (message instanceof HttpResponse head
+                && !UpstreamResponse.isInformational(head)
+                && !channel.isFullyWritten()) {
             // An endpoint starts to execute a request only after its last byte, which it does not get any more.
             close();
             completeExchange(
                     UpstreamResponse.isRejected(head) ? AttemptResult.REJECTED : AttemptResult.CONNECT_FAILED, NO_BODY);
-            return false;
-        }
-        if (MessageFraming.isAmbiguous(head)) {
-            fail("ambiguous framing of the response");
-            return false;
-        }
-        if (UpstreamResponse.isTooLong(head)) {
-            fail("content length exceeds the limit of " + ConnectionLimits.MAX_RESPONSE_BODY_BYTES + " bytes");
-            return false;
-        }
-        response = new UpstreamResponse(head);
-        return reserveResponseMemory();
-    }
-
-    /** Appends content to the response. Returns false if the response exceeds a limit and is abandoned. */
-    private boolean append(HttpContent content) {
-        if (response.size() + content.content().readableBytes() > ConnectionLimits.MAX_RESPONSE_BODY_BYTES) {
-            fail("response body exceeds the limit of " + ConnectionLimits.MAX_RESPONSE_BODY_BYTES + " bytes");
-            return false;
+            return;
         }
-        response.append(content.content());
-        return reserveResponseMemory();
-    }
-
-    /** Returns false if the response is abandoned, because all responses together exceed the memory budget. */
-    private boolean reserveResponseMemory() {
-        boolean isReserved = responseMemory.resize(response.heldBytes());
-        if (!isReserved) {
-            fail("all buffered responses exceed the memory budget");
+        try {
+            if (assembler.add(message)) {
+                onResponseComplete(assembler.response());
+            }
+        } catch (InvalidResponseException e) {
+            fail(e.getMessage());
         }
-        return isReserved;
     }
 
-    private void onResponseComplete() {
+    private void onResponseComplete(UpstreamResponse response) {
         AttemptResult result = response.result();
         byte[] body = result == AttemptResult.OK ? response.body() : NO_BODY;
         if (response.allowsConnectionReuse()) {
             transitionTo(State.RESPONSE_RECEIVED, State.ACTIVE);
-            discardResponse();
+            assembler.discard();
         } else {
             close();
         }
@@ -333,11 +278,6 @@
         }
     }
 
-    private void discardResponse() {
-        response = null;
-        responseMemory.release();
-    }
-
     /**
      * Closes the connection when the endpoint has shut down its output. If this completes a body without a length, the
      * decoder has already emitted the end of the response.
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponse.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponse.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
 import loadbalancer.policy.AttemptResult;
@@ -23,6 +24,11 @@
         body = HeapBuffers.ALLOCATOR.buffer((int) Math.min(length, ConnectionLimits.INITIAL_RESPONSE_BUFFER_BYTES));
     }
 
+    /** Returns whether a final response follows this one. */
+    static boolean isInformational(HttpResponse head) {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
     /** Returns whether the length in the head exceeds the limit for response bodies. */
     static boolean isTooLong(HttpResponse head) {
         return HttpUtil.getContentLength(head, DEFAULT_LENGTH_BYTES) > ConnectionLimits.MAX_RESPONSE_BODY_BYTES;
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 
@@ -64,12 +63,14 @@
         }
         int firstNewMessage = messages.size();
         super.decode(context, bytes, messages);
-        messages.subList(firstNewMessage, messages.size()).forEach(this::onDecoded);
+        for (int i = firstNewMessage; i < messages.size(); i++) {
+            onDecoded(messages.get(i));
+        }
     }
 
     private void onDecoded(Object part) {
         if (part instanceof HttpResponse response) {
-            isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            isInformational = UpstreamResponse.isInformational(response);
         }
         if (part instanceof LastHttpContent) {
             isResponseExpected = isInformational;
