--- a/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientChannel.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
+import loadbalancer.proxy.resources.ConnectionLimits;
+
 /** The socket channel of a client connection, with control over when and what the proxy reads. */
 final class ClientChannel extends NioSocketChannel {
     private boolean detectsCloseOnly;
@@ -56,6 +59,15 @@
         detectsCloseOnly = true;
     }
 
+    /**
+     * Shuts down the output and gives the client time to close the connection. If the proxy closed the socket at once,
+     * further bytes from the client would reset the connection, and a response in transit would be lost.
+     */
+    void closeGracefully() {
+        shutdownOutput();
+        eventLoop().schedule((Runnable) this::close, ConnectionLimits.LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns whether all received bytes have been read, without reading any. */
     boolean hasNoUnreadBytes() {
         return !isActive() || unreadBytes() == 0;
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -1,7 +1,6 @@
 package loadbalancer.proxy.downstream;
 
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,7 +15,6 @@
 
 import loadbalancer.proxy.logging.EventLog;
 import loadbalancer.proxy.resources.Clock;
-import loadbalancer.proxy.resources.ConnectionLimits;
 
 /**
  * A connection of a client. It serves one request at a time, and pipelined requests in order. After an invalid
@@ -35,7 +33,6 @@
     private final UnansweredInput unanswered;
     private final ClientConnectionMemory memory;
     private final ClientPresence presence;
-
     private ClientConnectionPhase phase = ClientConnectionPhase.IDLE;
     /** The request that the handler has accepted and not yet responded to, or null. */
     private ClientRequest openRequest;
@@ -122,12 +119,8 @@
             respond(HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
         } else if (next.rejection() == null) {
             serve(next);
-        } else if (next.rejection().closesConnection()) {
-            log.refused(next.rejection().status(), "invalid or incomplete request");
-            reject(next.rejection().status(), next.rejection().reason());
         } else {
-            log.refused(next.rejection().status(), "out of memory budget");
-            respond(next.rejection().status(), next.rejection().reason(), 0);
+            reject(next.rejection());
         }
         onInputMemoryChanged();
     }
@@ -161,12 +154,15 @@
         respond(isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY_BODY, 0);
     }
 
-    /** Responds to an invalid request and closes the connection, because the client is likely to repeat the error. */
-    private void reject(HttpResponseStatus error, byte[] reason) {
-        phase = phase.withoutFurtherRequests();
-        pipeline.clear();
-        reader.close();
-        respond(error, reason, 0);
+    /** Responds to a request that is not served, and closes the connection if the rejection says so. */
+    private void reject(RequestRejection rejection) {
+        log.refused(rejection.status(), rejection.cause());
+        if (rejection.closesConnection()) {
+            phase = phase.withoutFurtherRequests();
+            pipeline.clear();
+            reader.close();
+        }
+        respond(rejection.status(), rejection.reason(), 0);
     }
 
     /**
@@ -222,10 +218,8 @@
     void closeIfTimedOut() {
         reader.rejectIfTimedOut();
         boolean hasReceivedRequest = reader.hasReceivedRequest();
-        if (phase.isServing()) {
-            if (openRequest == null && timeouts.isWriteTimeoutExceeded()) {
-                close(CloseReason.WRITE_TIMEOUT);
-            }
+        if (phase.isServing() && openRequest == null && timeouts.isWriteTimeoutExceeded()) {
+            close(CloseReason.WRITE_TIMEOUT);
         } else if (!reader.isClosed() && timeouts.isIdleTimeoutExceeded(hasReceivedRequest)) {
             closeIfUnused(hasReceivedRequest ? CloseReason.KEEP_ALIVE_TIMEOUT : CloseReason.READ_TIMEOUT);
         }
@@ -249,11 +243,7 @@
         return unanswered.isStalled();
     }
 
-    /**
-     * Closes the connection unless anything that has arrived still awaits its response.
-     *
-     * @return whether the connection is closed
-     */
+    /** Closes the connection unless anything that has arrived still awaits its response. Returns whether it is closed. */
     boolean closeIfUnused(CloseReason reason) {
         if (phase.isServing() || unanswered.hasArrived()) {
             return false;
@@ -266,18 +256,13 @@
         return true;
     }
 
-    /**
-     * Shuts down the output and gives the client time to close the connection. If the proxy closed the socket at once,
-     * further bytes from the client would reset the connection, and a response in transit would be lost. Further bytes
-     * are left unread, so that the client knows that they had no effect. After an invalid request, they are discarded.
-     */
+    /** Further bytes are left unread, so that the client knows that they had no effect, or discarded after an error. */
     private void closeGracefully(CloseReason reason) {
         log.closed(reason.toString(), openRequest);
         phase = phase.withoutFurtherRequests();
         reader.detectCloseOnly();
         reader.close();
-        channel.shutdownOutput();
-        channel.eventLoop().schedule((Runnable) channel::close, ConnectionLimits.LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.closeGracefully();
     }
 
     void close(CloseReason reason) {
--- a/src/main/java/loadbalancer/proxy/downstream/RequestRejection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/RequestRejection.java
@@ -16,6 +16,11 @@
     static final RequestRejection FOR_LACK_OF_MEMORY =
             new RequestRejection(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_REASON, false);
 
+    /** Returns why the request is rejected, for the log. */
+    String cause() {
+        return closesConnection ? "invalid or incomplete request" : "out of memory budget";
+    }
+
     /** Returns a rejection that closes the connection. */
     static RequestRejection closing(HttpResponseStatus status) {
         return new RequestRejection(status, NO_REASON, true);
--- a/src/test/java/loadbalancer/proxy/downstream/BacklogTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/BacklogTest.java
@@ -6,13 +6,11 @@
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -183,30 +181,6 @@
         }
     }
 
-    /** Starts a thread that ends when its socket is closed. */
-    private static void startThread(Callable<?> task) {
-        Thread thread = new Thread(
-                () -> {
-                    try {
-                        task.call();
-                    } catch (Exception e) {
-                        // The other side has closed the connection, or the test is over.
-                    }
-                },
-                "endpoint");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    /** Responds to each request on a connection of the proxy, and adds their ids to a queue. */
-    private static Void serve(Socket connection, BlockingQueue<String> requestIds) throws IOException {
-        while (true) {
-            HttpMessages.Message request = HttpMessages.read(connection.getInputStream());
-            requestIds.add(request.headers().get("x-txn"));
-            connection.getOutputStream().write(HttpMessages.ok("x").getBytes(StandardCharsets.US_ASCII));
-        }
-    }
-
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void requestIsNotForwardedIfItsClientDisconnectsDuringConnect(boolean cancellationEnabled) throws Exception {
@@ -223,14 +197,8 @@
             ProxyFixture.write(active, HttpMessages.order("stays", "60000m"));
             proxy.awaitPriorInputRead();
             hanging.freeBacklog();
-            BlockingQueue<String> forwardedIds = new LinkedBlockingQueue<>();
             // Two connects may be under way, and the order may be served on the connection that is accepted last.
-            startThread(() -> {
-                while (true) {
-                    Socket accepted = hanging.accept();
-                    startThread(() -> serve(accepted, forwardedIds));
-                }
-            });
+            BlockingQueue<String> forwardedIds = hanging.serveAll();
             assertEquals("stays", ScriptedHttpServer.next(forwardedIds));
             assertEquals(200, HttpMessages.read(active.getInputStream()).status());
             assertEquals(List.of(), List.copyOf(forwardedIds), "nothing else is forwarded");
